Owners seal open jobs at a takeover; short waits after store failures; tests of the decisions

A new owner lists the segments while the one before may still add one: the reader sees it there and not here. Ruled out by the log: pages of the list, adoption order, removal of old jobs.

--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -1,6 +1,7 @@
 //! The callers' door of an entry: reads requests, finds their routes and writes the answers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::HttpRequest;
@@ -84,6 +85,10 @@
     if dialect.is_readiness(req.method().as_str(), req.path()) {
         return answer_readiness(fleet);
     }
+    if fleet.closing.load(Ordering::Relaxed) {
+        let refusal = Refusal::not_run(RefusalReason::Leaving, "the process stops");
+        return answer_refusal(fleet, &req, &refusal.retry_after(0));
+    }
     let guard = fleet.begin_request();
     let started = fleet.clock.now();
     let path = req.uri().path();
--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -39,6 +39,10 @@
 /// milliseconds.
 const NOTICE_MS: u64 = 3_200;
 
+/// Time after the signal to stop from which new requests are refused, in milliseconds. By then the
+/// balancer sends no new connections, and what still comes on old ones could be cut.
+const REFUSE_MS: u64 = 4_000;
+
 /// Part of the grace that is kept for closing, in milliseconds.
 const CLOSING_MS: u64 = 700;
 
@@ -132,6 +136,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
         let spent = fleet.clock.now().since(started);
+        fleet.closing.store(spent >= REFUSE_MS, Ordering::Relaxed);
         if spent >= last_ms || spent >= NOTICE_MS && in_flight() == 0 {
             break;
         }
--- a/crates/mulberry-direct/src/fleet.rs
+++ b/crates/mulberry-direct/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -65,6 +66,8 @@
     pub secrets: ArcSwapOption<SecretRing>,
     /// Requests that are being answered.
     pub in_flight: AtomicU64,
+    /// Whether the process stops so soon that new requests could not be answered any more.
+    pub closing: AtomicBool,
     occupancy: Mutex<Occupancy>,
     ejector: Mutex<Ejector>,
 }
@@ -88,6 +91,7 @@
             peers: ArcSwap::from_pointee(IndexMap::new()),
             secrets: ArcSwapOption::empty(),
             in_flight: AtomicU64::new(0),
+            closing: AtomicBool::new(false),
             occupancy: Mutex::default(),
             ejector: Mutex::default(),
         })
--- a/crates/mulberry-direct/src/owner/calls.rs
+++ b/crates/mulberry-direct/src/owner/calls.rs
@@ -19,6 +19,6 @@
         }
         JobCall::Read { job, after, wait_ms } => read_results(owner, &job, after, wait_ms).await,
         JobCall::ItemBody { job, item } => read_body(owner, &job, &item).await,
-        JobCall::End { job, left_ms: _ } => end_job(owner, &job).await,
+        JobCall::End { job, left_ms } => end_job(owner, &job, left_ms).await,
     }
 }
--- a/crates/mulberry-direct/src/owner/listing.rs
+++ b/crates/mulberry-direct/src/owner/listing.rs
@@ -18,7 +18,7 @@
 use crate::owner::load::adopt_segment;
 
 /// Time between looks at what is to be written, in milliseconds.
-const LOOK_MS: u64 = 100;
+const LOOK_MS: u64 = 50;
 
 /// Time for which results of a job are gathered, in milliseconds.
 const GATHER_MS: u64 = 400;
@@ -51,7 +51,7 @@
     let mut segments = Vec::new();
     for (id, log) in &mut state.jobs {
         let written_at = state.written_at.get(id).copied().unwrap_or_default();
-        if now.since(written_at) < gather_ms && !is_whole(log) {
+        if now.since(written_at) < gather_ms && !is_whole(log) && !log.is_ending() {
             continue;
         }
         if let Some((number, segment)) = log.begin_segment() {
--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -7,14 +7,15 @@
 
 use mulberry_platform::error::PlatformError;
 use mulberry_platform::object_api::Object;
+use mulberry_platform::store::WriteEnd;
 use mulberry_platform::store::parse_json;
+use mulberry_platform::store::to_json;
 use mulberry_policy::job_log::JobLog;
 use mulberry_policy::job_log::JobOrigin;
 use mulberry_policy::store_budget::CallClass;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::batch_job::Segment;
 use mulberry_protocol::batch_job::StoredJob;
-use mulberry_protocol::batch_job::end_key;
 use mulberry_protocol::batch_job::job_key;
 use mulberry_protocol::batch_job::part_key;
 use mulberry_protocol::batch_job::segment_key;
@@ -44,7 +45,7 @@
             return;
         }
         let started = owner.now();
-        match read_all(&owner).await {
+        match read_and_seal(&owner).await {
             Ok(jobs) => {
                 let mut state = owner.state.borrow_mut();
                 if state.generation != generation {
@@ -67,11 +68,36 @@
     }
 }
 
+async fn read_and_seal(owner: &Owner) -> Result<IndexMap<JobId, JobLog>, PlatformError> {
+    let mut jobs = read_all(owner).await?;
+    let open = jobs.iter_mut().filter(|(_, job)| !job.is_settled());
+    let sealing = open.map(|(id, job)| seal_job(owner, id, job));
+    futures_util::future::try_join_all(sealing).await?;
+    Ok(jobs)
+}
+
+/// Adds an empty segment, so that an owner before this one can add no further results. Those that it
+/// added meanwhile are taken first.
+async fn seal_job(owner: &Owner, id: &JobId, job: &mut JobLog) -> Result<(), PlatformError> {
+    let seal = Segment { results: Vec::new(), ends: false };
+    while !job.is_settled() {
+        let key = segment_key(id.as_str(), job.next_segment());
+        match owner.store.create(CallClass::Commit, &key, to_json(&seal)?).await? {
+            WriteEnd::Written(_) => {
+                job.adopt_segment(seal);
+                return Ok(());
+            }
+            WriteEnd::Other(Some(object)) => adopt_segment(job, &object)?,
+            WriteEnd::Other(None) => {}
+        }
+    }
+    Ok(())
+}
+
 async fn read_all(owner: &Owner) -> Result<IndexMap<JobId, JobLog>, PlatformError> {
     let list = |prefix| owner.store.list_all(CallClass::Commit, prefix, true);
     let (stored, _) = list("jobs/").await?;
     let (parts, _) = list("job-parts/").await?;
-    let (ends, _) = list("job-ends/").await?;
     let (segments, _) = list("results/").await?;
     let parts = group(&parts);
     let segments = group(&segments);
@@ -84,9 +110,6 @@
                 for segment in segments.get(id).into_iter().flatten() {
                     adopt_segment(&mut job, segment)?;
                 }
-                if ends.iter().any(|e| name_of(e) == id) {
-                    job.end();
-                }
                 jobs.insert(JobId::new(id), job);
             }
             Err(e) => log_event!(error, Event::JobUnreadable, job = id, error = %e),
@@ -112,9 +135,7 @@
     {
         adopt_segment(&mut job, &segment)?;
     }
-    if owner.store.read(class, &end_key(id.as_str())).await?.is_some() {
-        job.end();
-    }
+    seal_job(owner, id, &mut job).await?;
     insert_job(&mut owner.state.borrow_mut(), id, job);
     owner.work.notify_one();
     Ok(true)
--- a/crates/mulberry-direct/src/owner/read.rs
+++ b/crates/mulberry-direct/src/owner/read.rs
@@ -7,11 +7,8 @@
 use bytes::Bytes;
 
 use mulberry_platform::error::PlatformError;
-use mulberry_platform::store::to_json;
 use mulberry_policy::job_log::JobLog;
-use mulberry_policy::store_budget::CallClass;
 use mulberry_protocol::batch_job::ItemResult;
-use mulberry_protocol::batch_job::end_key;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::JobId;
@@ -81,36 +78,47 @@
     }
 }
 
-/// Ends a job: recorded in the store first, so that it holds whatever happens next.
-pub(crate) async fn end_job(owner: &Owner, job: &JobId) -> JobReply {
+/// Time between looks at whether a job has ended, in milliseconds.
+const END_LOOK_MS: u64 = 20;
+
+/// Ends a job: recorded in its list first, so that it holds whatever happens next.
+pub(crate) async fn end_job(owner: &Owner, job: &JobId, left_ms: u64) -> JobReply {
+    let until = owner.now() + left_ms;
     if let Some(reply) = find_job(owner, job).await {
         return reply;
     }
-    if owner.state.borrow().jobs.get(job).is_some_and(JobLog::is_ended) {
-        return JobReply::Ended;
-    }
-    let written = match to_json(&true) {
-        Ok(value) => owner.store.create(CallClass::Commit, &end_key(job.as_str()), value).await,
-        Err(e) => Err(e),
-    };
-    if let Err(e) = written {
-        return JobReply::Refused(e.into_refusal());
-    }
-    let mut state = owner.state.borrow_mut();
-    if let Some(log) = state.jobs.get_mut(job) {
-        log.end();
+    loop {
+        {
+            let mut state = owner.state.borrow_mut();
+            let Some(log) = state.jobs.get_mut(job) else {
+                return JobReply::Refused(not_owner());
+            };
+            if log.is_ended() {
+                break;
+            }
+            log.request_end();
+        }
+        if owner.now() >= until {
+            let refusal =
+                Refusal::not_run(RefusalReason::StoreUnavailable, "the end is not stored");
+            return JobReply::Refused(refusal);
+        }
+        tokio::time::sleep(Duration::from_millis(END_LOOK_MS)).await;
     }
-    state.runs.retain(|(id, _), run| {
+    stop_runs(owner, job);
+    log_event!(info, Event::JobEnded, job = %job, cause = "caller");
+    owner.listed.notify_waiters();
+    owner.work.notify_one();
+    JobReply::Ended
+}
+
+fn stop_runs(owner: &Owner, job: &JobId) {
+    owner.state.borrow_mut().runs.retain(|(id, _), run| {
         if id == job {
             run.abort.abort();
         }
         id != job
     });
-    drop(state);
-    log_event!(info, Event::JobEnded, job = %job, cause = "caller");
-    owner.listed.notify_waiters();
-    owner.work.notify_one();
-    JobReply::Ended
 }
 
 /// Makes sure that the job is known. Returns the answer if it can't be.
--- a/crates/mulberry-direct/src/owner/tidy.rs
+++ b/crates/mulberry-direct/src/owner/tidy.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use mulberry_policy::store_budget::CallClass;
-use mulberry_protocol::batch_job::end_key;
 use mulberry_protocol::batch_job::job_key;
 use mulberry_protocol::batch_job::part_key;
 use mulberry_protocol::batch_job::segment_key;
@@ -44,7 +43,7 @@
 /// Deletes a job's objects, the job itself first, so that a rest never looks like a job.
 async fn remove_job(owner: &Owner, job: &JobId, segments: u32) -> bool {
     let id = job.as_str();
-    let mut keys = vec![job_key(id), end_key(id), part_key(id, 0)];
+    let mut keys = vec![job_key(id), part_key(id, 0)];
     keys.extend((0..segments).map(|number| segment_key(id, number)));
     for key in keys {
         let deleted = match owner.store.read(CallClass::Listing, &key).await {
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -60,6 +60,11 @@
     /// Makes the budget of a process.
     pub fn new(rates: StoreRates, clock: SharedClock, metrics: Metrics) -> Self {
         let budget = StoreBudget::new(rates, clock.now());
+        Self::of(budget, clock, metrics)
+    }
+
+    /// Shares a budget among the threads of a process.
+    pub fn of(budget: StoreBudget, clock: SharedClock, metrics: Metrics) -> Self {
         Self { budget: Arc::new(Mutex::new(budget)), clock, metrics }
     }
 
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -82,10 +82,19 @@
     listed: Vec<ItemResult>,
     pending: Vec<ItemResult>,
     next_segment: u32,
-    writing: usize,
+    /// Results in the segment that is being written, or none if none is.
+    writing: Option<Writing>,
+    /// Whether the caller has asked to end the job.
+    ending: bool,
     ended: bool,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Writing {
+    results: usize,
+    ends: bool,
+}
+
 /// Where and when a job was accepted.
 #[derive(Debug, Clone)]
 pub struct JobOrigin {
@@ -122,7 +131,8 @@
             listed: Vec::new(),
             pending: Vec::new(),
             next_segment: 0,
-            writing: 0,
+            writing: None,
+            ending: false,
             ended: false,
         }
     }
@@ -158,9 +168,14 @@
         self.ended || self.listed.len() == self.items.len()
     }
 
-    /// Ends the job: nothing more is run.
-    pub fn end(&mut self) {
-        self.ended = true;
+    /// Asks to end the job. It has ended once the next segment is written.
+    pub fn request_end(&mut self) {
+        self.ending = true;
+    }
+
+    /// Tells whether the job is to end and has not.
+    pub fn is_ending(&self) -> bool {
+        self.ending && !self.ended
     }
 
     /// Counts the tokens of the items that wait or run.
@@ -206,7 +221,8 @@
     /// Takes results to write: the number of the segment and its content. None while one is being
     /// written, or if there is nothing to write.
     pub fn begin_segment(&mut self) -> Option<(u32, Segment)> {
-        if self.writing > 0 || self.pending.is_empty() {
+        let ends = self.is_ending();
+        if self.writing.is_some() || self.pending.is_empty() && !ends {
             return None;
         }
         let mut bytes = 0;
@@ -214,26 +230,28 @@
             bytes += r.text.len() + r.item.len();
             bytes <= MAX_SEGMENT_BYTES
         };
-        let count = self.pending.iter().take_while(fits).count().max(1);
-        self.writing = count;
-        Some((self.next_segment, Segment { results: self.pending[..count].to_vec() }))
+        let count = self.pending.iter().take_while(fits).count().max(1).min(self.pending.len());
+        self.writing = Some(Writing { results: count, ends });
+        Some((self.next_segment, Segment { results: self.pending[..count].to_vec(), ends }))
     }
 
     /// Notes that the segment was written.
     pub fn commit_segment(&mut self) {
-        let results: Vec<ItemResult> = self.pending.drain(..self.writing).collect();
-        self.writing = 0;
+        let Some(writing) = self.writing.take() else { return };
+        let results: Vec<ItemResult> = self.pending.drain(..writing.results).collect();
+        self.ended |= writing.ends;
         self.adopt(results);
     }
 
     /// Notes that the segment was not written; it is written again later.
     pub fn abandon_segment(&mut self) {
-        self.writing = 0;
+        self.writing = None;
     }
 
     /// Takes the next segment as the store holds it, written by another owner or an earlier one.
     pub fn adopt_segment(&mut self, segment: Segment) {
-        self.writing = 0;
+        self.writing = None;
+        self.ended |= segment.ends;
         self.pending.retain(|p| !segment.results.iter().any(|r| r.item == p.item));
         self.adopt(segment.results);
     }
--- a/crates/mulberry-policy/src/store_budget.rs
+++ b/crates/mulberry-policy/src/store_budget.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Bounds the wait after failed calls, for a process that must follow the store's return closely.
+    pub fn with_longest_backoff(mut self, longest_ms: u64) -> Self {
+        self.backoff = Backoff::new(FIRST_BACKOFF_MS, longest_ms);
+        self
+    }
+
     /// Asks to make a call.
     pub fn ask(&mut self, class: CallClass, is_write: bool, now: Millis) -> CallPermit {
         if is_broken(Promise::UnlimitedCalls) {
--- /dev/null
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -0,0 +1,126 @@
+//! Batch beside online: load patterns, each with what has to happen.
+
+use mulberry_policy::batch_share::RESERVED_SLOTS;
+use mulberry_policy::batch_share::RunningItem;
+use mulberry_policy::batch_share::SharedEndpoint;
+use mulberry_policy::batch_share::WaitingItem;
+use mulberry_policy::batch_share::plan_batch;
+use mulberry_policy::occupancy::LoadClass;
+use mulberry_policy::occupancy::Occupancy;
+use mulberry_policy::occupancy::PEER_LOAD_TTL_MS;
+use mulberry_protocol::peer::EndpointLoad;
+use mulberry_protocol::time::Millis;
+
+const SLOTS: u32 = 8;
+const NOW: Millis = Millis(100_000);
+
+fn endpoint(key: u64, online: u32) -> SharedEndpoint {
+    SharedEndpoint { key, slots: SLOTS, online, foreign: 0, open: true }
+}
+
+fn running(item: u32, endpoint: u64, slack_ms: u64) -> RunningItem<u32> {
+    RunningItem { item, endpoint, due_at: NOW + (1_000 + slack_ms), left_ms: 1_000 }
+}
+
+fn waiting(item: u32, slack_ms: u64) -> WaitingItem<u32> {
+    WaitingItem { item, due_at: NOW + (5_000 + slack_ms), left_ms: 5_000, last_endpoint: None }
+}
+
+struct Pattern {
+    name: &'static str,
+    endpoints: Vec<SharedEndpoint>,
+    running: Vec<RunningItem<u32>>,
+    waiting: Vec<WaitingItem<u32>>,
+    stops: Vec<u32>,
+    starts: Vec<(u32, u64)>,
+}
+
+#[test]
+fn load_patterns() {
+    let room = SLOTS - RESERVED_SLOTS;
+    let patterns = [
+        Pattern {
+            name: "trough: batch fills all but the reserve",
+            endpoints: vec![endpoint(1, 0)],
+            running: Vec::new(),
+            waiting: (0..20).map(|i| waiting(i, 0)).collect(),
+            stops: Vec::new(),
+            starts: (0..room).map(|i| (i, 1)).collect(),
+        },
+        Pattern {
+            name: "onset of a burst: items make way at once, those with the most slack first",
+            endpoints: vec![endpoint(1, 7)],
+            running: vec![running(0, 1, 100), running(1, 1, 9_000), running(2, 1, 500)],
+            waiting: Vec::new(),
+            stops: vec![1, 2],
+            starts: Vec::new(),
+        },
+        Pattern {
+            name: "height of a burst: nothing starts",
+            endpoints: vec![endpoint(1, 8), endpoint(2, 9)],
+            running: Vec::new(),
+            waiting: vec![waiting(0, 0)],
+            stops: Vec::new(),
+            starts: Vec::new(),
+        },
+        Pattern {
+            name: "ripple: one more online request uses the reserve and stops nothing",
+            endpoints: vec![endpoint(1, 1)],
+            running: (0..room).map(|i| running(i, 1, 0)).collect(),
+            waiting: Vec::new(),
+            stops: Vec::new(),
+            starts: Vec::new(),
+        },
+        Pattern {
+            name: "jam of lots: those that can still be in time go first, by their slack",
+            endpoints: vec![endpoint(1, 4)],
+            running: Vec::new(),
+            waiting: vec![
+                WaitingItem { due_at: NOW, ..waiting(0, 0) },
+                waiting(1, 8_000),
+                waiting(2, 500),
+                waiting(3, 2_000),
+            ],
+            stops: Vec::new(),
+            starts: vec![(2, 1), (3, 1), (1, 1)],
+        },
+        Pattern {
+            name: "uneven load: the emptiest endpoint first",
+            endpoints: vec![endpoint(1, 6), endpoint(2, 3)],
+            running: Vec::new(),
+            waiting: vec![waiting(0, 0)],
+            stops: Vec::new(),
+            starts: vec![(0, 2)],
+        },
+        Pattern {
+            name: "an ejected endpoint gets nothing new",
+            endpoints: vec![SharedEndpoint { open: false, ..endpoint(1, 0) }],
+            running: vec![running(0, 1, 0)],
+            waiting: vec![waiting(1, 0)],
+            stops: Vec::new(),
+            starts: Vec::new(),
+        },
+    ];
+    for pattern in patterns {
+        let plan = plan_batch(&pattern.endpoints, &pattern.running, &pattern.waiting, NOW);
+        assert_eq!(plan.stops, pattern.stops, "{}", pattern.name);
+        assert_eq!(plan.starts, pattern.starts, "{}", pattern.name);
+    }
+}
+
+#[test]
+fn loads_of_peers_count_while_they_are_fresh() {
+    let mut occupancy = Occupancy::default();
+    occupancy.begin(1, LoadClass::Online);
+    let told = [EndpointLoad { endpoint: 1, online: 3, batch: 2 }];
+    occupancy.note_peer(&"p".into(), 7, 5, &told, NOW);
+    let late = [EndpointLoad { endpoint: 1, online: 9, batch: 9 }];
+    occupancy.note_peer(&"p".into(), 7, 4, &late, NOW);
+    let all = occupancy.all(1, NOW);
+    assert_eq!((all.online, all.batch), (4, 2), "an older datagram is ignored");
+    assert_eq!(occupancy.all(1, NOW + PEER_LOAD_TTL_MS).online, 1);
+    occupancy.note_peer(&"p".into(), 8, 1, &[], NOW);
+    assert_eq!(occupancy.all(1, NOW).total(), 1, "a restarted peer counts anew");
+    occupancy.end(1, LoadClass::Online);
+    assert!(occupancy.to_tell().is_empty());
+}
--- /dev/null
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -0,0 +1,171 @@
+//! One job at its owner: results listed once, whoever writes them.
+
+use std::sync::Arc;
+
+use mulberry_policy::item_ends::ItemVerdict;
+use mulberry_policy::item_ends::RunEnd;
+use mulberry_policy::job_log::ItemPhase;
+use mulberry_policy::job_log::JobLog;
+use mulberry_policy::job_log::JobOrigin;
+use mulberry_policy::job_log::Progress;
+use mulberry_protocol::batch_job::ItemResult;
+use mulberry_protocol::batch_job::JobItem;
+use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
+use mulberry_protocol::batch_job::ResultState;
+use mulberry_protocol::batch_job::Segment;
+use mulberry_protocol::time::Millis;
+
+fn job(items: usize) -> JobLog {
+    let item = |n: usize| JobItem {
+        id: Arc::from(format!("i{n}")),
+        path: "/p/".into(),
+        headers: Vec::new(),
+        body: "".into(),
+        tokens: 100,
+    };
+    let origin =
+        JobOrigin { route: "r".into(), host: "h".into(), due_at: Millis(18_000), now: Millis(0) };
+    JobLog::new(origin, (0..items).map(item).collect())
+}
+
+fn complete(log: &mut JobLog, index: usize, text: &str) {
+    if let Some(item) = log.item_mut(index) {
+        item.phase = ItemPhase::Running;
+        item.progress.push(1, text);
+    }
+    let verdict = log.note_run_end(index, RunEnd::Completed, true, 3, Millis(1));
+    assert_eq!(verdict, ItemVerdict::List);
+}
+
+fn result(item: &str, text: &str) -> ItemResult {
+    ItemResult { item: item.into(), state: ResultState::Completed, text: text.into() }
+}
+
+#[test]
+fn results_are_gathered_and_listed_in_order() {
+    let mut log = job(3);
+    complete(&mut log, 1, "b");
+    complete(&mut log, 0, "a");
+    let (number, segment) = log.begin_segment().unwrap();
+    assert_eq!((number, segment.results.len()), (0, 2));
+    complete(&mut log, 2, "c");
+    assert!(log.begin_segment().is_none(), "one write at a time");
+    assert!(log.listed().is_empty(), "nothing is shown before it is stored");
+    log.commit_segment();
+    assert_eq!(log.listed(), [result("i1", "b"), result("i0", "a")]);
+    assert_eq!(log.begin_segment().map(|(n, s)| (n, s.results.len())), Some((1, 1)));
+    log.commit_segment();
+    assert!(log.is_settled());
+}
+
+#[test]
+fn another_owner_s_segment_wins() {
+    let mut log = job(3);
+    complete(&mut log, 0, "mine");
+    complete(&mut log, 1, "mine");
+    log.begin_segment();
+    log.adopt_segment(Segment { results: vec![result("i0", "theirs")], ends: false });
+    assert_eq!(log.listed(), [result("i0", "theirs")]);
+    let (number, segment) = log.begin_segment().unwrap();
+    assert_eq!((number, segment.results), (1, vec![result("i1", "mine")]));
+}
+
+#[test]
+fn a_write_without_an_answer_is_made_again_with_what_came_since() {
+    let mut log = job(2);
+    complete(&mut log, 0, "a");
+    log.begin_segment();
+    complete(&mut log, 1, "b");
+    log.abandon_segment();
+    assert_eq!(log.begin_segment().map(|(n, s)| (n, s.results.len())), Some((0, 2)));
+}
+
+#[test]
+fn a_seal_takes_a_number_and_lists_nothing() {
+    let mut log = job(1);
+    log.adopt_segment(Segment { results: Vec::new(), ends: false });
+    assert!(log.listed().is_empty() && !log.is_settled());
+    complete(&mut log, 0, "a");
+    assert_eq!(log.begin_segment().map(|(n, _)| n), Some(1));
+}
+
+#[test]
+fn an_end_holds_once_it_is_stored() {
+    let mut log = job(2);
+    assert_eq!(log.waiting_tokens(), 200);
+    log.request_end();
+    assert!(!log.is_ended() && log.is_ending());
+    let (_, segment) = log.begin_segment().unwrap();
+    assert!(segment.ends && segment.results.is_empty());
+    log.commit_segment();
+    assert!(log.is_ended() && log.is_settled());
+    assert_eq!(log.waiting_tokens(), 0);
+}
+
+#[test]
+fn an_end_by_an_earlier_owner_is_taken_over() {
+    let mut log = job(2);
+    log.adopt_segment(Segment { results: Vec::new(), ends: true });
+    assert!(log.is_ended());
+}
+
+#[test]
+fn segments_stay_within_what_the_store_holds() {
+    let mut log = job(3);
+    let text = "x".repeat(MAX_SEGMENT_BYTES / 2);
+    for index in 0..3 {
+        complete(&mut log, index, &text);
+    }
+    assert_eq!(log.begin_segment().map(|(_, s)| s.results.len()), Some(1));
+}
+
+struct EndCase {
+    name: &'static str,
+    ends: &'static [RunEnd],
+    last: ItemVerdict,
+}
+
+#[test]
+fn ends_of_runs() {
+    let cases = [
+        EndCase { name: "impossible", ends: &[RunEnd::Impossible], last: ItemVerdict::GiveUp },
+        EndCase {
+            name: "failed as often as the route allows",
+            ends: &[RunEnd::Failed, RunEnd::Failed, RunEnd::Failed],
+            last: ItemVerdict::GiveUp,
+        },
+        EndCase {
+            name: "failed less often",
+            ends: &[RunEnd::Failed, RunEnd::Failed],
+            last: ItemVerdict::Again(600),
+        },
+        EndCase {
+            name: "a broken run is no failure of the item",
+            ends: &[RunEnd::Broken; 7],
+            last: ItemVerdict::Again(4_000),
+        },
+        EndCase {
+            name: "a stop is none either",
+            ends: &[RunEnd::Stopped; 9],
+            last: ItemVerdict::Again(0),
+        },
+    ];
+    for case in cases {
+        let mut log = job(1);
+        let mut verdict = None;
+        for end in case.ends {
+            log.item_mut(0).unwrap().phase = ItemPhase::Running;
+            verdict = Some(log.note_run_end(0, *end, false, 3, Millis(0)));
+        }
+        assert_eq!(verdict, Some(case.last), "{}", case.name);
+    }
+}
+
+#[test]
+fn progress_takes_each_event_once() {
+    let mut progress = Progress::default();
+    for (number, data) in [(1, "a"), (2, "b"), (2, "b"), (1, "a"), (3, "c")] {
+        progress.push(number, data);
+    }
+    assert_eq!((progress.text.as_str(), progress.events), ("a\nb\nc", 3));
+}
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -67,10 +67,13 @@
 }
 
 value_type! {
-    /// Results that were listed with one write.
+    /// What was added to a job's list with one write. An owner that takes over adds an empty segment
+    /// to each open job, after which the owner before it can add nothing.
     pub struct Segment {
         /// The results in order.
         pub results: Vec<ItemResult>,
+        /// Whether the caller has ended the job.
+        pub ends: bool,
     }
 }
 
@@ -89,11 +92,6 @@
     format!("results/{job}.{number:06}")
 }
 
-/// Returns the key of the record that ends a job.
-pub fn end_key(job: &str) -> String {
-    format!("job-ends/{job}")
-}
-
 /// Splits the key of a part or a segment into the job's name and the number.
 pub fn split_numbered_key(key: &str) -> Option<(&str, u32)> {
     let name = key.split_once('/').map_or(key, |(_, name)| name);
--- a/crates/mulberry-protocol/src/route.rs
+++ b/crates/mulberry-protocol/src/route.rs
@@ -50,7 +50,7 @@
         /// Host that requests name.
         pub host: Arc<str>,
         /// Start of the paths, with a slash at both ends.
-        pub path_prefix: Arc<str>,
+        pub path_start: Arc<str>,
         /// What may be repeated.
         pub kind: RouteKind,
         /// Longest time that a caller is kept waiting, in milliseconds, zero for no limit.
@@ -126,8 +126,8 @@
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.routes
             .iter()
-            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&*r.path_prefix))
-            .max_by_key(|r| r.path_prefix.len())
+            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&*r.path_start))
+            .max_by_key(|r| r.path_start.len())
     }
 
     /// Finds a route by its name.
--- a/crates/mulberry-tidy/src/catalogue.rs
+++ b/crates/mulberry-tidy/src/catalogue.rs
@@ -46,12 +46,13 @@
 
 /// Finds the names of counters in calls of the metrics.
 fn counters_in(text: &str) -> Vec<String> {
-    let starts = ["count(\"", "count_reason(\"", "metrics.add(\"", "gauge(\""];
+    let starts = ["count(\"", "count_reason(\"", "metrics.add(\"", "gauge(\"", "time_ms(\""];
     let mut names = Vec::new();
     for start in starts {
         for rest in text.split(start).skip(1) {
             let name = rest.split('"').next().unwrap_or("");
-            let is_counter = ["entry.", "side.", "store."].iter().any(|p| name.starts_with(p));
+            let is_counter =
+                ["entry.", "side.", "store.", "direct."].iter().any(|p| name.starts_with(p));
             if is_counter {
                 names.push(name.to_owned());
             }
--- a/crates/mulberry-tidy/src/sources.rs
+++ b/crates/mulberry-tidy/src/sources.rs
@@ -41,6 +41,12 @@
     own.ancestors().nth(2).unwrap_or(own).to_path_buf()
 }
 
+/// Reads a file.
+pub fn read_text(path: &Path) -> Result<String, TidyError> {
+    std::fs::read_to_string(path)
+        .map_err(|source| TidyError { path: path.display().to_string(), source })
+}
+
 /// Reads every Rust file below a folder.
 pub fn read_sources(folder: &Path) -> Result<Vec<(PathBuf, String)>, TidyError> {
     let failed = |path: &Path| {
@@ -55,7 +61,7 @@
             if path.is_dir() {
                 folders.push(path);
             } else if path.extension().is_some_and(|e| e == "rs") {
-                let text = std::fs::read_to_string(&path).map_err(failed(&path))?;
+                let text = read_text(&path)?;
                 sources.push((path, text));
             }
         }
--- a/crates/mulberry-tidy/tests/tree.rs
+++ b/crates/mulberry-tidy/tests/tree.rs
@@ -5,7 +5,9 @@
 use mulberry_tidy::check_events;
 use mulberry_tidy::check_imports;
 use mulberry_tidy::check_metrics;
+use mulberry_tidy::check_platform_words;
 use mulberry_tidy::read_sources;
+use mulberry_tidy::read_text;
 use mulberry_tidy::workspace_root;
 
 struct ImportCase {
@@ -33,11 +35,23 @@
     }
 }
 
+#[test]
+fn names_of_the_platform_are_found() {
+    let words = "Foreign-Name\nother_name\n";
+    let found = |text| check_platform_words(Path::new("a.rs"), text, words).len();
+    assert_eq!(found("let own = 1;"), 0);
+    assert_eq!(found("header(\"foreign-name\");\nlet other_name = 1;"), 2);
+}
+
 #[test]
 fn the_tree_is_tidy() {
     let root = workspace_root();
     let sources = read_sources(&root.join("crates")).unwrap();
-    let mut problems: Vec<_> = sources.iter().flat_map(|(p, t)| check_imports(p, t)).collect();
+    let adapter = read_sources(&root.join("platform")).unwrap();
+    let words = read_text(&root.join("platform/words.txt")).unwrap();
+    let every = sources.iter().chain(&adapter);
+    let mut problems: Vec<_> = every.flat_map(|(p, t)| check_imports(p, t)).collect();
+    problems.extend(sources.iter().flat_map(|(p, t)| check_platform_words(p, t, &words)));
     problems.extend(check_events(&std::fs::read_to_string(root.join("docs/EVENTS.md")).unwrap()));
     let metrics = std::fs::read_to_string(root.join("docs/METRICS.md")).unwrap();
     problems.extend(check_metrics(&metrics, &sources));
