--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -118,6 +118,7 @@
     let fleet = &door.fleet;
     let configuration = known_configuration(fleet)?;
     let started = fleet.clock.now();
+    check_head(req, configuration.limits.header_bytes)?;
     let route = find_route(&configuration, req)?;
     let body = read_body(payload, configuration.limits.body_bytes).await?;
     let deadline_ms = number_header(req, &fleet.dialect.headers().deadline_ms);
@@ -308,6 +309,23 @@
     })
 }
 
+/// Bytes around each header: a colon, a space and the end of the line.
+const HEADER_OVERHEAD_BYTES: usize = 4;
+
+fn check_head(req: &HttpRequest, max_bytes: usize) -> Result<(), Refusal> {
+    let line = req.uri().path_and_query().map_or(0, |t| t.as_str().len());
+    let headers = req
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
+    let bytes = line + headers.sum::<usize>();
+    if max_bytes > 0 && bytes > max_bytes {
+        let detail = format!("the head has {bytes} bytes of {max_bytes}");
+        return Err(Refusal::not_run(RefusalReason::HeadTooLarge, detail));
+    }
+    Ok(())
+}
+
 async fn read_body(mut payload: web::Payload, max_bytes: usize) -> Result<Bytes, Refusal> {
     let max_bytes = if max_bytes == 0 { DEFAULT_BODY_BYTES } else { max_bytes };
     let mut body = BytesMut::new();
--- a/crates/mulberry-protocol/src/refusal.rs
+++ b/crates/mulberry-protocol/src/refusal.rs
@@ -70,6 +70,8 @@
     Malformed => "malformed", 400;
     /// The body, prompt, line or file is larger than its limit.
     TooLarge => "too-large", 413;
+    /// The head of the request is larger than its limit.
+    HeadTooLarge => "head-too-large", 431;
     /// The bundle in force names no such model or service.
     UnknownTarget => "unknown-target", 404;
     /// The client is over its rate.
