Short queues at endpoints, waits for the store that follow its answers

Ruled out: batch in the way of online (its items had yielded), order of items. Change: queue_limit refuses at once what would wait past its target and takes who came back; patience gives a call up after five times the usual answer; watches gather changes for 250 ms; a lost store is logged at once (502).

--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -130,6 +130,7 @@
     }
     let limit_ms =
         if route.timeout_ms == 0 { deadline_ms } else { deadline_ms.min(route.timeout_ms) };
+    let returned = fleet.queue_limits().has_returned(&route.name, deadline_ms);
     let caller = CallerRequest {
         route,
         version: configuration.version,
@@ -139,6 +140,7 @@
         request_id,
         body,
         due: started + limit_ms,
+        returned,
     };
     let left = Duration::from_millis(caller.due.since(fleet.clock.now()));
     let served = tokio::time::timeout(left, door.relay.serve(&caller)).await;
--- a/crates/mulberry-direct/src/fleet.rs
+++ b/crates/mulberry-direct/src/fleet.rs
@@ -15,6 +15,7 @@
 use mulberry_policy::ejection::Ejector;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
+use mulberry_policy::queue_limit::QueueLimits;
 use mulberry_process::clock::SharedClock;
 use mulberry_process::metrics::Metrics;
 use mulberry_process::stop::Stop;
@@ -70,6 +71,7 @@
     pub closing: AtomicBool,
     occupancy: Mutex<Occupancy>,
     ejector: Mutex<Ejector>,
+    queue_limits: Mutex<QueueLimits>,
 }
 
 impl Fleet {
@@ -94,6 +96,7 @@
             closing: AtomicBool::new(false),
             occupancy: Mutex::default(),
             ejector: Mutex::default(),
+            queue_limits: Mutex::default(),
         })
     }
 
@@ -107,6 +110,11 @@
         self.ejector.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what was learned of the services' pace.
+    pub fn queue_limits(&self) -> MutexGuard<'_, QueueLimits> {
+        self.queue_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts an exchange with an endpoint until the guard is dropped.
     pub fn begin_load(self: &Arc<Self>, endpoint: u64, class: LoadClass) -> LoadGuard {
         self.occupancy().begin(endpoint, class);
--- a/crates/mulberry-direct/src/follow.rs
+++ b/crates/mulberry-direct/src/follow.rs
@@ -22,6 +22,10 @@
 /// Wait after a failed call, in milliseconds, beside the wait of the budget.
 const RETRY_MS: u64 = 150;
 
+/// Wait after a change before the next watch, in milliseconds, so that changes in quick succession
+/// come with one call.
+const GATHER_MS: u64 = 250;
+
 /// Time between looks at entries whose grace may be over, in milliseconds.
 const EXPIRE_MS: u64 = 200;
 
@@ -76,7 +80,12 @@
     tell: &mut impl FnMut(Change),
 ) -> Result<u64, PlatformError> {
     let batch = store.watch(prefix, from, WATCH_MS).await?;
-    tell(if batch.events.is_empty() { Change::Unchanged } else { Change::Changed(batch.events) });
+    if batch.events.is_empty() {
+        tell(Change::Unchanged);
+    } else {
+        tell(Change::Changed(batch.events));
+        tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
+    }
     Ok(batch.revision.max(from))
 }
 
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 
 use mulberry_policy::occupancy::LoadClass;
+use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::retry::FailedAttempt;
 use mulberry_policy::retry::RetryVerdict;
 use mulberry_policy::retry::final_refusal;
@@ -45,7 +46,7 @@
 /// Largest whole answer that is relayed, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
-/// Time after which a caller whose request found no room may try again, in milliseconds.
+/// Time after which a caller may try again while no endpoint is ready, in milliseconds.
 const RETRY_AFTER_MS: u32 = 400;
 
 /// Longest wait for an answer of an idempotent request before another endpoint is asked, as a
@@ -71,6 +72,8 @@
     pub body: Bytes,
     /// When an answer must have been given.
     pub due: Millis,
+    /// Whether the caller has come back after a refusal.
+    pub returned: bool,
 }
 
 /// The answer of an endpoint to a caller's request.
@@ -83,6 +86,8 @@
 
 /// A stream that has begun at an endpoint.
 pub struct OpenStream {
+    /// When the request was sent.
+    pub sent_at: Millis,
     /// The head, with the rest of the body to come.
     pub answer: Answer,
     /// Where it runs.
@@ -116,13 +121,9 @@
         let mut attempts =
             Attempts { tried: Vec::new(), ran: 0, moves: 0, worst: RunState::NotRun };
         loop {
-            let Some(endpoint) = self.choose(req, &attempts.tried) else {
-                let refusal = Refusal::not_run(
-                    RefusalReason::NoEndpoint,
-                    "no endpoint of the service is ready",
-                );
-                let refusal = refusal.retry_after(RETRY_AFTER_MS);
-                return Err(final_refusal(refusal, attempts.worst));
+            let endpoint = match self.choose(req, &attempts.tried) {
+                Ok(endpoint) => endpoint,
+                Err(refusal) => return Err(final_refusal(refusal, attempts.worst)),
             };
             let refusal = match self.try_endpoint(req, &endpoint, attempts.ran + 1, None).await {
                 Ok(answer) => return Ok(answer),
@@ -202,17 +203,17 @@
         attempt: u32,
     ) -> Result<RelayAnswer, ExchangeError> {
         let names = self.fleet.dialect.headers();
+        let sent_at = self.fleet.clock.now();
         let mut answer = exchange(&self.pool, names, request).await?;
         if req.route.kind == RouteKind::Stream && answer.status.is_success() {
             let endpoint = endpoint.clone();
-            return Ok(RelayAnswer::Stream(OpenStream {
-                answer,
-                endpoint,
-                load,
-                attempts: attempt,
-            }));
+            let attempts = attempt;
+            let open = OpenStream { sent_at, answer, endpoint, load, attempts };
+            return Ok(RelayAnswer::Stream(open));
         }
         let body = answer.read_all(MAX_ANSWER_BYTES).await?;
+        let span_ms = self.fleet.clock.now().since(sent_at);
+        self.fleet.queue_limits().note_run(&endpoint.service, span_ms, 0);
         Ok(RelayAnswer::Whole(answer.status, answer.headers, body))
     }
 
@@ -227,7 +228,8 @@
                     StatusCode::MISDIRECTED_REQUEST => RefusalReason::NotReady,
                     _ => RefusalReason::Busy,
                 };
-                Refusal::not_run(reason, "the endpoint did not run it").retry_after(RETRY_AFTER_MS)
+                let retry_ms = retry_after_ms(rand::rng().random());
+                Refusal::not_run(reason, "the endpoint did not run it").retry_after(retry_ms)
             }
             ExchangeError::Broken { detail } => {
                 self.note_failure(endpoint, "broken");
@@ -273,36 +275,56 @@
         Ok(EndpointRequest { address, req: request, request_id: req.request_id.clone() })
     }
 
-    /// Chooses an endpoint of the route that was not tried.
-    pub fn choose(&self, req: &CallerRequest, tried: &[EndpointName]) -> Option<EndpointEntry> {
+    /// Chooses an endpoint of the route that was not tried and has room, or says why there is none.
+    pub fn choose(
+        &self,
+        req: &CallerRequest,
+        tried: &[EndpointName],
+    ) -> Result<EndpointEntry, Refusal> {
         let endpoints = self.fleet.endpoints.load();
         let mut rng = rand::rng();
-        let service = req.route.service_for(rng.random())?;
-        let usable: Vec<&EndpointEntry> = endpoints
+        let none = || {
+            Refusal::not_run(RefusalReason::NoEndpoint, "no endpoint of the service is ready")
+                .retry_after(RETRY_AFTER_MS)
+        };
+        let service = req.route.service_for(rng.random()).ok_or_else(none)?;
+        let ready: Vec<&EndpointEntry> = endpoints
             .values()
             .filter(|e| e.service == *service && e.state == EndpointState::Ready)
             .filter(|e| !tried.contains(&e.name))
             .collect();
+        if ready.is_empty() {
+            return Err(none());
+        }
         let now = self.fleet.clock.now();
         let occupancy = self.fleet.occupancy();
         let ejector = self.fleet.ejector();
-        let candidates: Vec<Candidate> = usable
-            .iter()
-            .map(|e| {
-                let load = occupancy.all(e.load_key(), now);
-                Candidate {
-                    name_hash: e.load_key(),
-                    near: e.zone == self.fleet.settings.zone,
-                    own_in_flight: occupancy.own(e.load_key()).online,
-                    reported_online: load.total(),
-                    limit: e.slots,
-                    reported_wait_ms: 0,
-                    avoid: ejector.is_ejected(&e.name, now),
-                }
-            })
-            .collect();
-        let chosen = choose_endpoint(RoutingMode::LeastLoaded, &candidates, None, &mut rng)?;
-        Some(usable[chosen].clone())
+        let limits = self.fleet.queue_limits();
+        let target_ms = req.route.target_ms;
+        let mut usable: Vec<&EndpointEntry> = Vec::with_capacity(ready.len());
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(ready.len());
+        for endpoint in ready {
+            let load = occupancy.all(endpoint.load_key(), now);
+            let max = limits.max_online(service, endpoint.slots, target_ms, req.returned);
+            if load.online >= max {
+                continue;
+            }
+            usable.push(endpoint);
+            candidates.push(Candidate {
+                name_hash: endpoint.load_key(),
+                near: endpoint.zone == self.fleet.settings.zone,
+                own_in_flight: occupancy.own(endpoint.load_key()).online,
+                reported_online: load.total(),
+                limit: endpoint.slots,
+                reported_wait_ms: 0,
+                avoid: ejector.is_ejected(&endpoint.name, now),
+            });
+        }
+        match choose_endpoint(RoutingMode::LeastLoaded, &candidates, None, &mut rng) {
+            Some(chosen) => Ok(usable[chosen].clone()),
+            None => Err(Refusal::not_run(RefusalReason::Busy, "every endpoint is full")
+                .retry_after(retry_after_ms(rng.random()))),
+        }
     }
 
     fn log_attempt(
--- a/crates/mulberry-direct/src/stream_answer.rs
+++ b/crates/mulberry-direct/src/stream_answer.rs
@@ -11,6 +11,7 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::time::Millis;
 
 use crate::events::EventSplitter;
 use crate::fleet::RequestGuard;
@@ -28,6 +29,8 @@
     last_event: Option<u64>,
     tried: Vec<EndpointName>,
     events: u64,
+    /// When the first part came.
+    first_at: Option<Millis>,
     _request: RequestGuard,
 }
 
@@ -54,13 +57,19 @@
         last_event: None,
         tried: Vec::new(),
         events: 0,
+        first_at: None,
         _request: guard,
     };
     unfold(Some(state), |state| async move {
         let mut state = state?;
         match state.next().await {
-            Next::Part(part) => Some((Ok(part), Some(state))),
+            Next::Part(part) => {
+                let now = state.relay.fleet.clock.now();
+                state.first_at.get_or_insert(now);
+                Some((Ok(part), Some(state)))
+            }
             Next::End => {
+                state.note_pace();
                 state.log("complete");
                 None
             }
@@ -120,7 +129,7 @@
         while self.req.route.resumable && self.open.attempts < self.req.route.attempts {
             self.tried.push(self.open.endpoint.name.clone());
             self.splitter = EventSplitter::default();
-            let Some(endpoint) = self.relay.choose(&self.req, &self.tried) else { return false };
+            let Ok(endpoint) = self.relay.choose(&self.req, &self.tried) else { return false };
             let attempt = self.open.attempts + 1;
             let tried =
                 self.relay.try_endpoint(&self.req, &endpoint, attempt, self.last_event).await;
@@ -143,6 +152,15 @@
         false
     }
 
+    /// Learns from a stream that ran at one endpoint.
+    fn note_pace(&self) {
+        let Some(first_at) = self.first_at.filter(|_| self.tried.is_empty()) else { return };
+        let fleet = &self.relay.fleet;
+        let first_ms = first_at.since(self.open.sent_at);
+        let rest_ms = fleet.clock.now().since(first_at);
+        fleet.queue_limits().note_run(&self.open.endpoint.service, first_ms, rest_ms);
+    }
+
     fn log(&self, outcome: &str) {
         log_event!(
             info,
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use mulberry_policy::patience::Patience;
 use mulberry_policy::store_budget::CallClass;
 use mulberry_policy::store_budget::CallPermit;
 use mulberry_policy::store_budget::StoreBudget;
@@ -31,7 +32,7 @@
 const MAX_BUDGET_WAIT_MS: u64 = 1_000;
 
 /// Most tries to learn how a write without an answer ended.
-const SETTLE_TRIES: u32 = 3;
+const SETTLE_TRIES: u32 = 4;
 
 /// Objects in one page of a list.
 const PAGE_OBJECTS: u32 = 1_000;
@@ -52,6 +53,8 @@
 #[derive(Clone)]
 pub struct SharedBudget {
     budget: Arc<Mutex<StoreBudget>>,
+    /// The wait for answers, where it follows those that come.
+    patience: Option<Arc<Mutex<Patience>>>,
     clock: SharedClock,
     metrics: Metrics,
 }
@@ -65,7 +68,13 @@
 
     /// Shares a budget among the threads of a process.
     pub fn of(budget: StoreBudget, clock: SharedClock, metrics: Metrics) -> Self {
-        Self { budget: Arc::new(Mutex::new(budget)), clock, metrics }
+        Self { budget: Arc::new(Mutex::new(budget)), patience: None, clock, metrics }
+    }
+
+    /// Gives calls up that take far longer than usual, instead of after a fixed time only.
+    pub fn with_patience(mut self) -> Self {
+        self.patience = Some(Arc::default());
+        self
     }
 
     /// Tells whether the last call failed.
@@ -91,12 +100,39 @@
         }
     }
 
+    /// Waits for an answer as long as answers usually take, several times over.
+    async fn in_time<T>(
+        &self,
+        call: &'static str,
+        answering: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        let Some(patience) = &self.patience else { return answering.await };
+        let lock = || patience.lock().unwrap_or_else(PoisonError::into_inner);
+        let wait = Duration::from_millis(lock().wait_ms());
+        let started = self.clock.now();
+        match tokio::time::timeout(wait, answering).await {
+            Ok(result) => {
+                lock().note_answer(self.clock.now().since(started));
+                result
+            }
+            Err(_) => {
+                lock().note_silence();
+                Err(PlatformError::NoAnswer { call, detail: "no answer in time".to_owned() })
+            }
+        }
+    }
+
     fn note<T>(&self, call: &'static str, result: &Result<T, PlatformError>) {
         self.metrics.count_reason("store.calls", call);
         match result {
             Err(e) if e.is_outage() => {
                 let now = self.clock.now();
-                self.lock().note_failure(now, &mut rand::rng());
+                let mut budget = self.lock();
+                if !budget.is_failing() {
+                    log_event!(warn, Event::StoreLost, call, error = %e);
+                }
+                budget.note_failure(now, &mut rand::rng());
+                drop(budget);
                 self.metrics.count_reason("store.failures", call);
                 log_event!(debug, Event::StoreFailed, error = %e);
             }
@@ -125,7 +161,7 @@
     /// Reads an object.
     pub async fn read(&self, class: CallClass, key: &str) -> Result<Option<Object>, PlatformError> {
         self.budget.permit(class, false).await?;
-        let result = self.api.read(key).await;
+        let result = self.budget.in_time("read", self.api.read(key)).await;
         self.budget.note("read", &result);
         result
     }
@@ -272,7 +308,8 @@
         condition: WriteCondition,
     ) -> Result<u64, PlatformError> {
         self.budget.permit(class, true).await?;
-        let result = self.api.write(key, value, condition).await;
+        let writing = self.api.write(key, value, condition);
+        let result = self.budget.in_time("write", writing).await;
         self.budget.note("write", &result);
         result
     }
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -116,6 +116,8 @@
     StoreFailed = 500, "object API failed";
     /// The object API answers again.
     StoreRecovered = 501, "object API answers again";
+    /// The object API gave no answer to a call, after it had answered the one before.
+    StoreLost = 502, "object API gives no answer";
     /// An engine crashed or broke its streams.
     EngineCrashed = 600, "engine crashed";
     /// A request is refused as poison.
