The owner that loses the lease passes its work on open items to the next one

Cause: at each change of the owner some fifty items of five seconds began anew. Change: what was made of unlisted items goes over a link to the next owner, which takes what is more than it has; a stopping owner waits for that.

--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -234,7 +234,7 @@
     let fleet = &door.fleet;
     match reply {
         JobReply::Accepted => builder(fleet, 202).finish(),
-        JobReply::Ended => builder(fleet, 200).finish(),
+        JobReply::Ended | JobReply::Taken => builder(fleet, 200).finish(),
         JobReply::Page(page) => builder(fleet, 200).content_type("application/json").body(page),
         JobReply::Body(body) => {
             builder(fleet, 200).content_type("application/octet-stream").body(body)
--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -11,6 +11,7 @@
 
 use mulberry_link::LinkConnection;
 use mulberry_link::LinkError;
+use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
@@ -70,6 +71,13 @@
             /// Milliseconds for which the caller waits.
             left_ms: u64,
         },
+        /// Take what an owner that lost the lease had of items.
+        TakeProgress {
+            /// Name of the job.
+            job: JobId,
+            /// What there was.
+            items: Vec<ItemProgress>,
+        },
     }
 }
 
@@ -80,6 +88,8 @@
         Accepted,
         /// The job has ended.
         Ended,
+        /// What was passed on is taken.
+        Taken,
         /// A page of results.
         Page(Bytes),
         /// The body of an item.
--- a/crates/mulberry-direct/src/owner/lease.rs
+++ b/crates/mulberry-direct/src/owner/lease.rs
@@ -16,6 +16,7 @@
 
 use crate::owner::Owner;
 use crate::owner::load::load_jobs;
+use crate::owner::pass_on::pass_progress_on;
 
 /// Key of the lease.
 const LEASE_KEY: &str = "leases/jobs";
@@ -90,7 +91,7 @@
 }
 
 /// Takes a peer's claim.
-pub(crate) fn take_claim(owner: &Owner, claim: &OwnerClaim) {
+pub(crate) fn take_claim(owner: &Rc<Owner>, claim: &OwnerClaim) {
     let lost = owner.state.borrow_mut().lease.note_claim(claim, owner.now());
     if lost {
         lose_lease(owner, "a peer claims a higher term");
@@ -103,19 +104,21 @@
     state.lease.claim(state.serving, owner.now())
 }
 
-/// Gives the lease up, so that another process takes it at once.
-pub(crate) async fn hand_over(owner: &Owner) {
+/// Gives the lease up, so that another process takes it at once. Returns whether it was held.
+pub(crate) async fn hand_over(owner: &Rc<Owner>) -> bool {
     let handed = owner.state.borrow_mut().lease.hand_over(owner.now());
-    let Some((record, revision)) = handed else { return };
+    let Some((record, revision)) = handed else { return false };
     lose_lease(owner, "handed over");
-    let Ok(value) = to_json(&record) else { return };
+    let Ok(value) = to_json(&record) else { return true };
     if let Err(e) = owner.store.update(CallClass::Lease, LEASE_KEY, value, revision).await {
         log_event!(debug, Event::StoreFailed, what = "lease", error = %e);
     }
+    true
 }
 
-fn lose_lease(owner: &Owner, cause: &str) {
+fn lose_lease(owner: &Rc<Owner>, cause: &str) {
     log_event!(info, Event::LeaseLost, cause);
     owner.fleet.metrics.count("direct.leases_lost");
     owner.step_down();
+    actix_rt::spawn(pass_progress_on(owner.clone()));
 }
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod listing;
 mod load;
+mod pass_on;
 mod process;
 mod read;
 mod retire;
@@ -28,6 +29,7 @@
 use mulberry_platform::store::Store;
 use mulberry_policy::job_log::JobLog;
 use mulberry_policy::owner_lease::OwnerLease;
+use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::time::Millis;
 
@@ -74,6 +76,8 @@
     pub(crate) retirements: IndexMap<String, u64>,
     pub(crate) emptied: IndexSet<String>,
     pub(crate) pace: Pace,
+    /// What was made of items that were not listed when the lease was lost.
+    pub(crate) left_over: Vec<(JobId, Vec<ItemProgress>)>,
 }
 
 /// How long items take, learned from those that completed.
@@ -126,6 +130,8 @@
     pub(crate) listed: Notify,
     /// Told when items may start.
     pub(crate) work: Notify,
+    /// Told when the work on open items was passed on.
+    pub(crate) passed_on: Notify,
 }
 
 impl Owner {
@@ -148,9 +154,11 @@
                 retirements: IndexMap::new(),
                 emptied: IndexSet::new(),
                 pace: Pace::default(),
+                left_over: Vec::new(),
             }),
             listed: Notify::new(),
             work: Notify::new(),
+            passed_on: Notify::new(),
         })
     }
 
@@ -174,6 +182,9 @@
             run.abort.abort();
         }
         state.runs.clear();
+        let open = state.jobs.iter().filter(|(_, log)| !log.is_settled());
+        let progress = open.map(|(job, log)| (job.clone(), log.export_progress()));
+        state.left_over = progress.filter(|(_, items)| !items.is_empty()).collect();
         state.jobs.clear();
         state.submissions.clear();
         state.last_endpoints.clear();
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -36,8 +36,8 @@
 /// Longest time for handing over at a stop.
 const HAND_OVER_TIME: Duration = Duration::from_millis(2_500);
 
-/// Time after handing over in which calls under way are answered.
-const LAST_CALLS_TIME: Duration = Duration::from_millis(300);
+/// Longest time after handing over until the next owner has taken the work on open items.
+const PASS_ON_TIME: Duration = Duration::from_millis(3_000);
 
 /// Runs an owner on the calling thread until it was told to stop.
 pub async fn run_owner(fleet: Arc<Fleet>, store: Store) -> Result<(), StartError> {
@@ -71,10 +71,12 @@
     fleet.stop.trigger();
     let handing = async {
         flush_results(&owner).await;
-        hand_over(&owner).await;
+        hand_over(&owner).await
     };
-    let _in_time = tokio::time::timeout(HAND_OVER_TIME, handing).await;
-    tokio::time::sleep(LAST_CALLS_TIME).await;
+    let was_owner = tokio::time::timeout(HAND_OVER_TIME, handing).await.unwrap_or(true);
+    if was_owner {
+        let _in_time = tokio::time::timeout(PASS_ON_TIME, owner.passed_on.notified()).await;
+    }
     log_event!(info, Event::ProcessStopped, name = %fleet.settings.name);
     Ok(())
 }
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::batch_job::ItemResult;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
@@ -256,6 +257,51 @@
         self.adopt(segment.results);
     }
 
+    /// Lists what was made of items that are not listed.
+    pub fn export_progress(&self) -> Vec<ItemProgress> {
+        let ended = self.pending.iter().map(|r| ItemProgress {
+            item: r.item.clone(),
+            text: r.text.to_string(),
+            events: 0,
+            last_event: None,
+            ended: Some(r.state),
+        });
+        let begun = self.items.iter().filter(|s| s.progress.events > 0);
+        let open = |s: &&ItemState| matches!(s.phase, ItemPhase::Waiting(_) | ItemPhase::Running);
+        let begun = begun.filter(open).map(|s| ItemProgress {
+            item: s.item.id.clone(),
+            text: s.progress.text.clone(),
+            events: s.progress.events,
+            last_event: s.progress.last_event,
+            ended: None,
+        });
+        ended.chain(begun).collect()
+    }
+
+    /// Takes what an earlier owner made of an item, if it is more than what there is. Returns the
+    /// item's index if a run of it is to be stopped.
+    pub fn import_progress(&mut self, told: ItemProgress, now: Millis) -> Option<usize> {
+        let index = *self.by_id.get(&told.item)?;
+        let state = &mut self.items[index];
+        let was_running = state.phase == ItemPhase::Running;
+        let is_open = was_running || matches!(state.phase, ItemPhase::Waiting(_));
+        let is_more = told.ended.is_some() || told.last_event > state.progress.last_event;
+        if !is_open || !is_more {
+            return None;
+        }
+        if let Some(ended) = told.ended {
+            state.phase = ItemPhase::Ended;
+            state.progress = Progress::default();
+            let text = Arc::from(told.text);
+            self.pending.push(ItemResult { item: told.item, state: ended, text });
+        } else {
+            state.phase = ItemPhase::Waiting(now);
+            state.progress =
+                Progress { text: told.text, events: told.events, last_event: told.last_event };
+        }
+        was_running.then_some(index)
+    }
+
     /// Returns the number of the next segment.
     pub fn next_segment(&self) -> u32 {
         self.next_segment
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -169,3 +169,38 @@
     }
     assert_eq!((progress.text.as_str(), progress.events), ("a\nb\nc", 3));
 }
+
+#[test]
+fn progress_passes_to_the_next_owner_once() {
+    let mut before = job(4);
+    complete(&mut before, 0, "whole");
+    for (index, number) in [(1, 2), (2, 1)] {
+        if let Some(item) = before.item_mut(index) {
+            item.phase = ItemPhase::Running;
+            (1..=number).for_each(|n| item.progress.push(n, "x"));
+        }
+    }
+    let told = before.export_progress();
+    assert_eq!(told.len(), 3);
+    let mut after = job(4);
+    if let Some(item) = after.item_mut(1) {
+        item.phase = ItemPhase::Running;
+        item.progress.push(1, "x");
+    }
+    if let Some(item) = after.item_mut(2) {
+        item.phase = ItemPhase::Running;
+        (1..=5).for_each(|n| item.progress.push(n, "x"));
+    }
+    let stops: Vec<Option<usize>> =
+        told.iter().map(|p| after.import_progress(p.clone(), Millis(9))).collect();
+    assert_eq!(stops, [None, Some(1), None], "only a run that is behind is stopped");
+    assert_eq!(after.items()[1].progress.last_event, Some(2));
+    assert_eq!(after.items()[2].progress.last_event, Some(5), "what is ahead is kept");
+    let (_, segment) = after.begin_segment().unwrap_or_default();
+    assert_eq!(segment.results, [result("i0", "whole")]);
+    for progress in told.iter().cloned() {
+        after.import_progress(progress, Millis(9));
+    }
+    after.commit_segment();
+    assert!(after.begin_segment().is_none(), "told twice, listed once");
+}
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -67,6 +67,7 @@
 }
 
 value_type! {
+    #[derive(Default)]
     /// What was added to a job's list with one write. An owner that takes over adds an empty segment
     /// to each open job, after which the owner before it can add nothing.
     pub struct Segment {
@@ -77,6 +78,22 @@
     }
 }
 
+value_type! {
+    /// What an owner that lost the lease had of an item, passed on so that the work is not lost.
+    pub struct ItemProgress {
+        /// Name of the item.
+        pub item: Arc<str>,
+        /// Data of the events so far, one a line.
+        pub text: String,
+        /// Events so far.
+        pub events: u32,
+        /// Number of the last event.
+        pub last_event: Option<u64>,
+        /// How the item ended, if it has.
+        pub ended: Option<ResultState>,
+    }
+}
+
 /// Returns the key of a job.
 pub fn job_key(job: &str) -> String {
     format!("jobs/{job}")
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -112,6 +112,8 @@
     ResultsUnwritten = 417, "results not written";
     /// A VM was emptied.
     VmEmptied = 418, "VM emptied";
+    /// The work of an earlier owner on open items was taken.
+    ProgressTaken = 419, "progress of an earlier owner taken";
     /// The object API gave no answer.
     StoreFailed = 500, "object API failed";
     /// The object API answers again.
