Calls on jobs are made again at the next owner

Change: the entry makes the call again until the caller's time is over; a refusal after a call that may have been carried out never says that it was not.

--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -15,6 +15,7 @@
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
+use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::value_type;
 
 use crate::fleet::Fleet;
@@ -117,46 +118,60 @@
     }
 
     /// Passes a call to the owner and returns its answer within `limit_ms`.
+    ///
+    /// Every call may be made twice, so that one whose owner went away is made again at the next one.
     pub async fn call(&self, call: &JobCall, limit_ms: u64) -> JobReply {
-        let started = self.fleet.clock.now();
-        let mut last = None;
+        let until = self.fleet.clock.now() + limit_ms;
+        let owner_until = self.fleet.clock.now() + limit_ms.min(OWNER_WAIT_MS);
+        let mut unreachable = None;
+        let mut uncertain = false;
         loop {
-            let spent = self.fleet.clock.now().since(started);
-            let Some((_, address)) = find_owner(&self.fleet).filter(|(_, a)| Some(*a) != last)
-            else {
-                if spent >= OWNER_WAIT_MS.min(limit_ms) {
-                    self.fleet.metrics.count_reason("direct.job_calls_refused", "no-owner");
-                    return JobReply::Refused(
-                        Refusal::not_run(RefusalReason::NotReady, "no owner of the jobs is known")
-                            .retry_after(RETRY_AFTER_MS),
-                    );
+            let left = Duration::from_millis(until.since(self.fleet.clock.now()).max(1));
+            let owner = find_owner(&self.fleet).map(|(_, address)| address);
+            let problem = match owner.filter(|address| Some(*address) != unreachable) {
+                None => Problem::NoOwner,
+                Some(address) => {
+                    match tokio::time::timeout(left, self.exchange(address, call)).await {
+                        Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
+                            Problem::NoOwner
+                        }
+                        Ok(Ok(JobReply::Refused(r))) => {
+                            return JobReply::Refused(if uncertain { as_unknown(r) } else { r });
+                        }
+                        Ok(Ok(reply)) => return reply,
+                        Ok(Err(LinkError::Connect { .. })) => {
+                            unreachable = Some(address);
+                            Problem::NoOwner
+                        }
+                        Ok(Err(e)) => Problem::Broken(e.to_string()),
+                        Err(_) => Problem::Slow,
+                    }
                 }
-                tokio::time::sleep(Duration::from_millis(OWNER_LOOK_MS)).await;
-                continue;
             };
-            let left = Duration::from_millis(limit_ms.saturating_sub(spent).max(1));
-            match tokio::time::timeout(left, self.exchange(address, call)).await {
-                Ok(Ok(JobReply::Refused(refusal)))
-                    if refusal.reason == RefusalReason::NotReady && spent < OWNER_WAIT_MS =>
-                {
-                    tokio::time::sleep(Duration::from_millis(OWNER_LOOK_MS)).await;
-                }
-                Ok(Ok(reply)) => return reply,
-                Ok(Err(LinkError::Connect { .. })) => last = Some(address),
-                Ok(Err(e)) => {
-                    self.fleet.metrics.count_reason("direct.job_calls_refused", "link");
-                    let refusal = Refusal::unknown(RefusalReason::LinkFailed, e.to_string());
-                    return JobReply::Refused(refusal);
-                }
-                Err(_) => {
-                    self.fleet.metrics.count_reason("direct.job_calls_refused", "slow");
-                    let detail = "the owner did not answer in time";
-                    return JobReply::Refused(Refusal::unknown(RefusalReason::LinkFailed, detail));
-                }
+            uncertain |= !matches!(problem, Problem::NoOwner);
+            let now = self.fleet.clock.now();
+            let is_over = match problem {
+                Problem::NoOwner => now >= owner_until && (!uncertain || now >= until),
+                Problem::Broken(_) | Problem::Slow => now >= until,
+            };
+            if is_over {
+                return self.give_up(problem, uncertain);
             }
+            tokio::time::sleep(Duration::from_millis(OWNER_LOOK_MS)).await;
         }
     }
 
+    fn give_up(&self, problem: Problem, uncertain: bool) -> JobReply {
+        let (cause, detail) = match problem {
+            Problem::NoOwner => ("no-owner", "no owner of the jobs is known".to_owned()),
+            Problem::Broken(detail) => ("link", detail),
+            Problem::Slow => ("slow", "the owner did not answer in time".to_owned()),
+        };
+        self.fleet.metrics.count_reason("direct.job_calls_refused", cause);
+        let refusal = Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
+        JobReply::Refused(if uncertain { as_unknown(refusal) } else { refusal })
+    }
+
     async fn exchange(&self, address: SocketAddr, call: &JobCall) -> Result<JobReply, LinkError> {
         let taken = self.take_link(address).await;
         let mut link = taken.map_err(never_sent)?;
@@ -185,6 +200,21 @@
     }
 }
 
+/// Why a call got no answer.
+enum Problem {
+    /// No owner is known or reached, or it does not serve.
+    NoOwner,
+    /// The link broke in the middle of the exchange.
+    Broken(String),
+    /// The owner did not answer in time.
+    Slow,
+}
+
+/// Makes a refusal of a call that an earlier owner may have carried out.
+fn as_unknown(refusal: Refusal) -> Refusal {
+    Refusal { run: RunState::Unknown, ..refusal }
+}
+
 /// Turns an error of opening a link into one that says that nothing was sent.
 fn never_sent(error: LinkError) -> LinkError {
     match error {
