A term that only a peer told of is exceeded at a takeover

It knew of the lease by a datagram, and its read of the lease got no answer; the term was then taken as 0. Two owners of one term would each ignore the other's claim. Ruled out: a lost lease object (its revision went on). Change: what is seen of the lease always has its term. Test: fails before with (1, 40) in place of (7, 40).

--- a/crates/mulberry-policy/src/owner_lease.rs
+++ b/crates/mulberry-policy/src/owner_lease.rs
@@ -66,7 +66,9 @@
 
 #[derive(Debug, Clone)]
 struct Seen {
+    /// What the store holds, or none if a peer told of it.
     record: Option<LeaseRecord>,
+    term: u64,
     revision: u64,
     /// When this revision was first seen.
     since: Millis,
@@ -114,8 +116,7 @@
             _ if !read_lately => LeaseStep::Read,
             None => LeaseStep::Create(self.next_record(0)),
             Some(seen) if self.is_lapsed(now) => {
-                let term = seen.record.as_ref().map_or(0, |r| r.term);
-                LeaseStep::Replace(self.next_record(term), seen.revision)
+                LeaseStep::Replace(self.next_record(seen.term), seen.revision)
             }
             Some(_) => LeaseStep::Wait,
         }
@@ -134,7 +135,8 @@
         };
         if self.seen.as_ref().is_none_or(|s| s.revision < revision || s.record.is_none()) {
             let since = self.seen.as_ref().filter(|s| s.revision == revision).map(|s| s.since);
-            self.seen = Some(Seen { record: Some(record), revision, since: since.unwrap_or(now) });
+            let (term, since) = (record.term, since.unwrap_or(now));
+            self.seen = Some(Seen { record: Some(record), term, revision, since });
         }
     }
 
@@ -170,7 +172,8 @@
         self.heard_at = Some(now);
         let since = now - claim.renewed_ms_ago;
         if self.seen.as_ref().is_none_or(|s| s.revision < claim.revision) {
-            self.seen = Some(Seen { record: None, revision: claim.revision, since });
+            let (term, revision) = (claim.term, claim.revision);
+            self.seen = Some(Seen { record: None, term, revision, since });
             self.read_at = None;
         }
         self.held.take().is_some()
--- a/crates/mulberry-policy/tests/owner_lease.rs
+++ b/crates/mulberry-policy/tests/owner_lease.rs
@@ -136,6 +136,8 @@
             lease.apply(&mut owner, now);
             now = now + 50;
         }
+        let term = lease.held.as_ref().map(|(record, _)| record.term);
+        assert_eq!(term, Some(case.found.term + 1), "{}", case.name);
         let after = now.since(start);
         let (least, most) = case.after_ms;
         assert!((least..=most).contains(&after), "{}: {after}", case.name);
@@ -154,3 +156,18 @@
     assert!(owner.note_claim(&claim(2, 2, 0), later));
     assert!(!owner.is_held());
 }
+
+#[test]
+fn a_term_that_only_a_peer_told_of_is_exceeded_as_well() {
+    let mut owner = OwnerLease::new("a".into());
+    let now = Millis(10_000);
+    owner.note_claim(&claim(6, 40, 0), now);
+    let later = now + LEASE_MS;
+    assert_eq!(owner.step(later), LeaseStep::Read);
+    // The read gets no answer.
+    owner.note_reading(later);
+    let LeaseStep::Replace(record, revision) = owner.step(later + 1) else {
+        panic!("the lease has lapsed");
+    };
+    assert_eq!((record.term, revision), (7, 40));
+}
