--- a/crates/mulberry-direct/src/follow.rs
+++ b/crates/mulberry-direct/src/follow.rs
@@ -24,7 +24,7 @@
 
 /// Wait after a change before the next watch, in milliseconds, so that changes in quick succession
 /// come with one call.
-const GATHER_MS: u64 = 250;
+const GATHER_MS: u64 = 400;
 
 /// Time between looks at entries whose grace may be over, in milliseconds.
 const EXPIRE_MS: u64 = 200;
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -32,7 +32,7 @@
 const MAX_BUDGET_WAIT_MS: u64 = 1_000;
 
 /// Most tries to learn how a write without an answer ended.
-const SETTLE_TRIES: u32 = 4;
+const SETTLE_TRIES: u32 = 3;
 
 /// Objects in one page of a list.
 const PAGE_OBJECTS: u32 = 1_000;
