--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -34,6 +34,9 @@
 /// Most tries to learn how a write without an answer ended.
 const SETTLE_TRIES: u32 = 3;
 
+/// The same where each wait for an answer is short.
+const PATIENT_SETTLE_TRIES: u32 = 6;
+
 /// Objects in one page of a list.
 const PAGE_OBJECTS: u32 = 1_000;
 
@@ -100,6 +103,10 @@
         }
     }
 
+    fn settle_tries(&self) -> u32 {
+        if self.patience.is_some() { PATIENT_SETTLE_TRIES } else { SETTLE_TRIES }
+    }
+
     /// Waits for an answer as long as answers usually take, several times over.
     async fn in_time<T>(
         &self,
@@ -271,7 +278,7 @@
         condition: WriteCondition,
     ) -> Result<WriteEnd, PlatformError> {
         let mut last = self.write_once(class, key, value.clone(), condition).await;
-        for _ in 0..SETTLE_TRIES {
+        for _ in 0..self.budget.settle_tries() {
             match last {
                 Ok(version) => return Ok(WriteEnd::Written(version)),
                 Err(PlatformError::Conflict { .. } | PlatformError::NoAnswer { .. }) => {}
