--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -12,6 +12,7 @@
 use miette::Diagnostic;
 use thiserror::Error;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 
 use mulberry_platform::store::Store;
 use mulberry_process::stop::wait_for_signal;
@@ -78,8 +79,9 @@
     start_metrics(&fleet);
     log_event!(info, Event::ProcessServing, name = %fleet.settings.name, role = "entry",
         callers = ?fleet.settings.callers, peers = %fleet.settings.peers);
-    actix_rt::spawn(follow_configuration(fleet.clone(), store.clone()));
-    actix_rt::spawn(follow_endpoints(fleet.clone(), store.clone()));
+    let wanted = watch::Sender::new(Some(0));
+    actix_rt::spawn(follow_configuration(fleet.clone(), store.clone(), wanted.subscribe(), || {}));
+    actix_rt::spawn(follow_endpoints(fleet.clone(), store.clone(), wanted.subscribe(), || {}));
     actix_rt::spawn(join_peers(fleet.clone(), store, PeerRole::Entry));
     actix_rt::spawn(receive_beats(fleet.clone(), socket.clone(), |_| {}));
     actix_rt::spawn(send_beats(fleet.clone(), socket, PeerRole::Entry, || None));
--- a/crates/mulberry-direct/src/follow.rs
+++ b/crates/mulberry-direct/src/follow.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use mulberry_platform::error::PlatformError;
 use mulberry_platform::object_api::Object;
 use mulberry_platform::object_api::WatchEvent;
@@ -39,30 +41,64 @@
     Failed,
     /// The store answered without a change.
     Unchanged,
+    /// Nothing was followed for a while; what is known may be old.
+    Paused,
 }
 
-/// Lists and watches a prefix until the process stops.
-pub async fn follow(store: &Store, prefix: &str, mut tell: impl FnMut(Change)) {
+/// Whether something is to be followed. Another number means that what was known may be old; the sender
+/// lives as long as the process.
+pub type Wanted = watch::Receiver<Option<u64>>;
+
+/// Lists and watches a prefix until the process stops, while it is wanted.
+pub async fn follow(store: &Store, prefix: &str, mut wanted: Wanted, mut tell: impl FnMut(Change)) {
     let mut revision: Option<u64> = None;
     loop {
-        let result = match revision {
-            None => list(store, prefix, &mut tell).await.map(Some),
-            Some(from) => watch(store, prefix, from, &mut tell).await.map(Some),
-        };
-        match result {
-            Ok(next) => revision = next,
-            Err(PlatformError::Compacted) => revision = None,
-            Err(PlatformError::BudgetSpent { retry_ms }) => {
-                tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+        let is_wanted = wanted.borrow_and_update().is_some();
+        let step = async {
+            if !is_wanted {
+                return std::future::pending().await;
             }
-            Err(_) => {
-                tell(Change::Failed);
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            step(store, prefix, revision, &mut tell).await
+        };
+        tokio::select! {
+            next = step => revision = next,
+            changed = wanted.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                revision = None;
+                tell(Change::Paused);
             }
         }
     }
 }
 
+/// Makes one call. Returns the revision to go on from, or none to list anew.
+async fn step(
+    store: &Store,
+    prefix: &str,
+    revision: Option<u64>,
+    tell: &mut impl FnMut(Change),
+) -> Option<u64> {
+    let result = match revision {
+        None => list(store, prefix, tell).await,
+        Some(from) => watch_prefix(store, prefix, from, tell).await,
+    };
+    match result {
+        Ok(next) => Some(next),
+        Err(PlatformError::Compacted) => None,
+        Err(PlatformError::BudgetSpent { retry_ms }) => {
+            tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+            revision
+        }
+        Err(_) => {
+            tell(Change::Failed);
+            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            revision
+        }
+    }
+}
+
 async fn list(
     store: &Store,
     prefix: &str,
@@ -73,7 +109,7 @@
     Ok(revision)
 }
 
-async fn watch(
+async fn watch_prefix(
     store: &Store,
     prefix: &str,
     from: u64,
@@ -90,18 +126,24 @@
 }
 
 /// Keeps the configuration in force up to date. Versions never go back.
-pub async fn follow_configuration(fleet: Arc<Fleet>, store: Store) {
+pub async fn follow_configuration(
+    fleet: Arc<Fleet>,
+    store: Store,
+    wanted: Wanted,
+    listed: impl Fn(),
+) {
     let key = fleet.dialect.configuration_key();
     let prefix = key.split_inclusive('/').next().unwrap_or(key);
-    follow(&store, prefix, |change| match change {
+    follow(&store, prefix, wanted, |change| match change {
         Change::Listed(objects) => {
             objects.iter().filter(|o| o.key == key).for_each(|o| take_configuration(&fleet, o));
+            listed();
         }
         Change::Changed(events) => {
             let changed = events.iter().filter(|e| !e.deleted && e.object.key == key);
             changed.for_each(|e| take_configuration(&fleet, &e.object));
         }
-        Change::Failed | Change::Unchanged => {}
+        Change::Failed | Change::Unchanged | Change::Paused => {}
     })
     .await;
 }
@@ -131,7 +173,7 @@
 }
 
 /// Keeps the known endpoints up to date.
-pub async fn follow_endpoints(fleet: Arc<Fleet>, store: Store) {
+pub async fn follow_endpoints(fleet: Arc<Fleet>, store: Store, wanted: Wanted, listed: impl Fn()) {
     let book = std::cell::RefCell::new(EndpointBook::default());
     let expire = async {
         loop {
@@ -143,8 +185,12 @@
         }
     };
     let prefix = fleet.dialect.endpoint_prefix();
-    let follow = follow(&store, prefix, |change| {
+    let follow = follow(&store, prefix, wanted, |change| {
+        let is_list = matches!(change, Change::Listed(_));
         apply_endpoints(&fleet, &mut book.borrow_mut(), change);
+        if is_list {
+            listed();
+        }
     });
     tokio::join!(expire, follow);
 }
@@ -152,6 +198,10 @@
 fn apply_endpoints(fleet: &Fleet, book: &mut EndpointBook, change: Change) {
     let now = fleet.clock.now();
     match change {
+        Change::Paused => {
+            *book = EndpointBook::default();
+            return;
+        }
         Change::Failed => return book.note_store_failure(),
         Change::Unchanged => return book.note_store_answer(now),
         Change::Listed(objects) => {
--- a/crates/mulberry-direct/src/owner/lease.rs
+++ b/crates/mulberry-direct/src/owner/lease.rs
@@ -73,6 +73,8 @@
             if is_new {
                 log_event!(info, Event::LeaseTaken, term, revision);
                 owner.fleet.metrics.count("direct.leases_taken");
+                let generation = owner.state.borrow().generation;
+                owner.owned.send_replace(Some(generation));
                 actix_rt::spawn(load_jobs(owner.clone()));
             }
         }
--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -1,5 +1,6 @@
 //! Loads jobs and results from the platform's store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::JobId;
+use mulberry_protocol::time::Millis;
 
 use crate::owner::Owner;
 use crate::owner::OwnerState;
@@ -30,12 +32,16 @@
 /// Wait after a failed load, in milliseconds.
 const RETRY_MS: u64 = 100;
 
+/// Time between looks at what has been read, in milliseconds.
+const CURRENT_LOOK_MS: u64 = 10;
+
 /// Time in which jobs are due if their route is not known, in milliseconds.
 const DEFAULT_COMPLETION_MS: u64 = 18_000;
 
 /// Loads every job after the lease was taken, then begins to serve.
 pub(crate) async fn load_jobs(owner: Rc<Owner>) {
     let generation = owner.state.borrow().generation;
+    wait_until_current(&owner).await;
     loop {
         let still_held = {
             let state = owner.state.borrow();
@@ -68,6 +74,19 @@
     }
 }
 
+/// Waits until the configuration and the endpoints were read after the lease was taken. What was known
+/// from before may be old.
+async fn wait_until_current(owner: &Owner) {
+    let since = owner.now();
+    let is_read = |read: &Cell<Option<Millis>>| read.get().is_some_and(|at| at >= since);
+    while !is_read(&owner.configuration_read) || !is_read(&owner.endpoints_read) {
+        tokio::time::sleep(Duration::from_millis(CURRENT_LOOK_MS)).await;
+        if !owner.state.borrow().lease.is_held() {
+            return;
+        }
+    }
+}
+
 async fn read_and_seal(owner: &Owner) -> Result<IndexMap<JobId, JobLog>, PlatformError> {
     let mut jobs = read_all(owner).await?;
     let open = jobs.iter_mut().filter(|(_, job)| !job.is_settled());
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod tidy;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 use mulberry_platform::store::Store;
@@ -126,6 +128,12 @@
     pub(crate) store: Store,
     pub(crate) pool: ConnectionPool,
     pub(crate) state: RefCell<OwnerState>,
+    /// The generation in which this process holds the lease, none while it stands by.
+    pub(crate) owned: watch::Sender<Option<u64>>,
+    /// When the configuration was last read whole.
+    pub(crate) configuration_read: Cell<Option<Millis>>,
+    /// When the endpoints were last read whole.
+    pub(crate) endpoints_read: Cell<Option<Millis>>,
     /// Told when results were listed.
     pub(crate) listed: Notify,
     /// Told when items may start.
@@ -156,6 +164,9 @@
                 pace: Pace::default(),
                 left_over: Vec::new(),
             }),
+            owned: watch::Sender::new(None),
+            configuration_read: Cell::new(None),
+            endpoints_read: Cell::new(None),
             listed: Notify::new(),
             work: Notify::new(),
             passed_on: Notify::new(),
@@ -190,6 +201,7 @@
         state.last_endpoints.clear();
         state.written_at.clear();
         drop(state);
+        self.owned.send_replace(None);
         self.listed.notify_waiters();
     }
 }
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -1,5 +1,6 @@
 //! The owner process.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +40,26 @@
 /// Longest time after handing over until the next owner has taken the work on open items.
 const PASS_ON_TIME: Duration = Duration::from_millis(3_000);
 
+/// Follows the configuration and the endpoints while this process holds the lease: a process that
+/// stands by needs neither, and each watch is a call to the store.
+fn follow_while_owner(owner: &Rc<Owner>) {
+    let (fleet, store) = (&owner.fleet, &owner.store);
+    let of_configuration = owner.clone();
+    actix_rt::spawn(follow_configuration(
+        fleet.clone(),
+        store.clone(),
+        owner.owned.subscribe(),
+        move || of_configuration.configuration_read.set(Some(of_configuration.now())),
+    ));
+    let of_endpoints = owner.clone();
+    actix_rt::spawn(follow_endpoints(
+        fleet.clone(),
+        store.clone(),
+        owner.owned.subscribe(),
+        move || of_endpoints.endpoints_read.set(Some(of_endpoints.now())),
+    ));
+}
+
 /// Runs an owner on the calling thread until it was told to stop.
 pub async fn run_owner(fleet: Arc<Fleet>, store: Store) -> Result<(), StartError> {
     let address = fleet.settings.peers;
@@ -50,8 +71,7 @@
     log_event!(info, Event::ProcessServing, name = %fleet.settings.name, role = "owner",
         peers = %address);
     let owner = Owner::new(fleet.clone(), store.clone());
-    actix_rt::spawn(follow_configuration(fleet.clone(), store.clone()));
-    actix_rt::spawn(follow_endpoints(fleet.clone(), store.clone()));
+    follow_while_owner(&owner);
     actix_rt::spawn(join_peers(fleet.clone(), store, PeerRole::Owner));
     let claims = owner.clone();
     actix_rt::spawn(receive_beats(fleet.clone(), socket.clone(), move |claim| {
--- a/crates/mulberry-direct/src/owner/retire.rs
+++ b/crates/mulberry-direct/src/owner/retire.rs
@@ -22,7 +22,7 @@
 pub(crate) async fn follow_retirements(owner: Rc<Owner>) {
     let prefix = owner.fleet.dialect.retirement_prefix();
     let name = |key: &str| key.strip_prefix(prefix).unwrap_or(key).to_owned();
-    follow(&owner.store, prefix, |change| {
+    follow(&owner.store, prefix, owner.owned.subscribe(), |change| {
         let mut state = owner.state.borrow_mut();
         match change {
             Change::Listed(objects) => {
@@ -39,7 +39,7 @@
                     }
                 }
             }
-            Change::Failed | Change::Unchanged => {}
+            Change::Failed | Change::Unchanged | Change::Paused => {}
         }
     })
     .await;
--- a/crates/mulberry-policy/src/owner_lease.rs
+++ b/crates/mulberry-policy/src/owner_lease.rs
@@ -159,6 +159,15 @@
 
     /// Notes that another record is in the store. Returns whether a held lease was lost.
     pub fn note_conflict(&mut self, found: Option<(LeaseRecord, u64)>, now: Millis) -> bool {
+        if let (Some(held), Some((record, revision))) = (&mut self.held, &found) {
+            let is_own = record.holder.as_ref() == Some(&self.own);
+            if is_own && record.term == held.record.term {
+                // An earlier renewal whose answer was lost.
+                held.record = record.clone();
+                held.revision = *revision;
+                return false;
+            }
+        }
         let was_held = self.held.take().is_some();
         self.note_read(found, now);
         was_held
--- a/crates/mulberry-policy/tests/owner_lease.rs
+++ b/crates/mulberry-policy/tests/owner_lease.rs
@@ -171,3 +171,23 @@
     };
     assert_eq!((record.term, revision), (7, 40));
 }
+
+#[test]
+fn an_own_renewal_whose_answer_was_lost_does_not_lose_the_lease() {
+    let (mut lease, mut owner) = (Lease::default(), OwnerLease::new("a".into()));
+    let now = Millis(10_000);
+    lease.apply(&mut owner, now);
+    lease.apply(&mut owner, now);
+    let LeaseStep::Replace(renewed, _) = owner.step(now + RENEW_MS) else {
+        panic!("a renewal is due");
+    };
+    // It was written, and further writes met it.
+    let lost = owner.note_conflict(Some((renewed.clone(), 7)), now + RENEW_MS);
+    assert!(!lost && owner.is_held());
+    assert_eq!(
+        owner.step(now + 2 * RENEW_MS),
+        LeaseStep::Replace(LeaseRecord { renewals: renewed.renewals + 1, ..renewed }, 7)
+    );
+    let taken = LeaseRecord { term: 2, ..record("b", 2) };
+    assert!(owner.note_conflict(Some((taken, 9)), now + 2 * RENEW_MS));
+}
