Watches that may never be answered are made anew

An entry sent its watch into a silent store; the store came back at 29.3 s and never answered it, over a connection that looked alive; the entry heard of version 44 at 36.8 s. Ruled out: TCP probes (the connection was sound), backoff (no call had failed), the gathering of changes. Change: datagrams tell the version in force and how often the store came back; store_news has the waiting watches made anew when a peer saw the store return or has worked by a newer version for 0.6 s, at most every 1.5 s.

--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -82,9 +82,9 @@
     let wanted = watch::Sender::new(Some(0));
     actix_rt::spawn(follow_configuration(fleet.clone(), store.clone(), wanted.subscribe(), || {}));
     actix_rt::spawn(follow_endpoints(fleet.clone(), store.clone(), wanted.subscribe(), || {}));
-    actix_rt::spawn(join_peers(fleet.clone(), store, PeerRole::Entry));
+    actix_rt::spawn(join_peers(fleet.clone(), store.clone(), PeerRole::Entry));
     actix_rt::spawn(receive_beats(fleet.clone(), socket.clone(), |_| {}));
-    actix_rt::spawn(send_beats(fleet.clone(), socket, PeerRole::Entry, || None));
+    actix_rt::spawn(send_beats(fleet.clone(), store, socket, PeerRole::Entry, || None));
     wait_for_signal().await;
     drain(&fleet, server).await;
     log_event!(info, Event::ProcessStopped, name = %fleet.settings.name);
--- a/crates/mulberry-direct/src/fleet.rs
+++ b/crates/mulberry-direct/src/fleet.rs
@@ -11,16 +11,21 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use indexmap::IndexMap;
+use tokio::sync::watch;
 
 use mulberry_policy::ejection::Ejector;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
 use mulberry_policy::queue_limit::QueueLimits;
+use mulberry_policy::store_news::StoreNews;
+use mulberry_policy::store_news::StoreTold;
 use mulberry_process::clock::SharedClock;
 use mulberry_process::metrics::Metrics;
 use mulberry_process::stop::Stop;
 use mulberry_protocol::auth::SecretRing;
 use mulberry_protocol::endpoint::EndpointEntry;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
 use mulberry_protocol::name::EntryName;
 use mulberry_protocol::peer::Member;
@@ -69,6 +74,9 @@
     pub in_flight: AtomicU64,
     /// Whether the process stops so soon that new requests could not be answered any more.
     pub closing: AtomicBool,
+    /// Rises when waiting watches are to be made anew.
+    pub renewals: watch::Sender<u64>,
+    store_news: Mutex<StoreNews>,
     occupancy: Mutex<Occupancy>,
     ejector: Mutex<Ejector>,
     queue_limits: Mutex<QueueLimits>,
@@ -94,6 +102,8 @@
             secrets: ArcSwapOption::empty(),
             in_flight: AtomicU64::new(0),
             closing: AtomicBool::new(false),
+            renewals: watch::Sender::new(0),
+            store_news: Mutex::default(),
             occupancy: Mutex::default(),
             ejector: Mutex::default(),
             queue_limits: Mutex::default(),
@@ -110,6 +120,26 @@
         self.ejector.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes what a process tells of the store, and has the waiting watches made anew if they may never
+    /// be answered.
+    pub fn note_store_told(&self, teller: &EntryName, told: StoreTold) {
+        let now = self.clock.now();
+        let own_version = self.version();
+        let mut news = self.store_news.lock().unwrap_or_else(PoisonError::into_inner);
+        news.note(teller, told, own_version, now);
+        if news.must_renew(own_version, now) {
+            self.metrics.count("direct.watches_renewed");
+            log_event!(info, Event::WatchesRenewed, teller = %teller, version = told.version,
+                own_version, returns = told.returns);
+            self.renewals.send_modify(|number| *number += 1);
+        }
+    }
+
+    /// Returns the version of the configuration in force, zero before the first.
+    pub fn version(&self) -> u64 {
+        self.configuration.load().as_ref().map_or(0, |c| c.version)
+    }
+
     /// Locks what was learned of the services' pace.
     pub fn queue_limits(&self) -> MutexGuard<'_, QueueLimits> {
         self.queue_limits.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/mulberry-direct/src/follow.rs
+++ b/crates/mulberry-direct/src/follow.rs
@@ -50,7 +50,13 @@
 pub type Wanted = watch::Receiver<Option<u64>>;
 
 /// Lists and watches a prefix until the process stops, while it is wanted.
-pub async fn follow(store: &Store, prefix: &str, mut wanted: Wanted, mut tell: impl FnMut(Change)) {
+pub async fn follow(
+    store: &Store,
+    prefix: &str,
+    mut wanted: Wanted,
+    mut renewals: watch::Receiver<u64>,
+    mut tell: impl FnMut(Change),
+) {
     let mut revision: Option<u64> = None;
     loop {
         let is_wanted = wanted.borrow_and_update().is_some();
@@ -69,6 +75,12 @@
                 revision = None;
                 tell(Change::Paused);
             }
+            // The call under way may never be answered; it is made again from the same revision.
+            renewed = renewals.changed() => {
+                if renewed.is_err() {
+                    return;
+                }
+            }
         }
     }
 }
@@ -134,7 +146,8 @@
 ) {
     let key = fleet.dialect.configuration_key();
     let prefix = key.split_inclusive('/').next().unwrap_or(key);
-    follow(&store, prefix, wanted, |change| match change {
+    let renewals = fleet.renewals.subscribe();
+    follow(&store, prefix, wanted, renewals, |change| match change {
         Change::Listed(objects) => {
             objects.iter().filter(|o| o.key == key).for_each(|o| take_configuration(&fleet, o));
             listed();
@@ -185,7 +198,8 @@
         }
     };
     let prefix = fleet.dialect.endpoint_prefix();
-    let follow = follow(&store, prefix, wanted, |change| {
+    let renewals = fleet.renewals.subscribe();
+    let follow = follow(&store, prefix, wanted, renewals, |change| {
         let is_list = matches!(change, Change::Listed(_));
         apply_endpoints(&fleet, &mut book.borrow_mut(), change);
         if is_list {
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -72,13 +72,15 @@
         peers = %address);
     let owner = Owner::new(fleet.clone(), store.clone());
     follow_while_owner(&owner);
-    actix_rt::spawn(join_peers(fleet.clone(), store, PeerRole::Owner));
+    actix_rt::spawn(join_peers(fleet.clone(), store.clone(), PeerRole::Owner));
     let claims = owner.clone();
     actix_rt::spawn(receive_beats(fleet.clone(), socket.clone(), move |claim| {
         take_claim(&claims, claim);
     }));
     let claims = owner.clone();
-    actix_rt::spawn(send_beats(fleet.clone(), socket, PeerRole::Owner, move || own_claim(&claims)));
+    actix_rt::spawn(send_beats(fleet.clone(), store, socket, PeerRole::Owner, move || {
+        own_claim(&claims)
+    }));
     actix_rt::spawn(accept_links(owner.clone(), listener));
     actix_rt::spawn(keep_lease(owner.clone()));
     actix_rt::spawn(schedule(owner.clone()));
--- a/crates/mulberry-direct/src/owner/retire.rs
+++ b/crates/mulberry-direct/src/owner/retire.rs
@@ -22,7 +22,8 @@
 pub(crate) async fn follow_retirements(owner: Rc<Owner>) {
     let prefix = owner.fleet.dialect.retirement_prefix();
     let name = |key: &str| key.strip_prefix(prefix).unwrap_or(key).to_owned();
-    follow(&owner.store, prefix, owner.owned.subscribe(), |change| {
+    let (owned, renewals) = (owner.owned.subscribe(), owner.fleet.renewals.subscribe());
+    follow(&owner.store, prefix, owned, renewals, |change| {
         let mut state = owner.state.borrow_mut();
         match change {
             Change::Listed(objects) => {
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -14,6 +14,7 @@
 use mulberry_platform::store::parse_json;
 use mulberry_platform::store::to_json;
 use mulberry_policy::store_budget::CallClass;
+use mulberry_policy::store_news::StoreTold;
 use mulberry_protocol::auth::SecretRing;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::heartbeat::MAX_DATAGRAM_BYTES;
@@ -164,6 +165,8 @@
     let now = fleet.clock.now();
     note_member(fleet, beat.member.clone());
     let name = &beat.member.name;
+    let (incarnation, returns, version) = (beat.incarnation, beat.store_returns, beat.version);
+    fleet.note_store_told(name, StoreTold { incarnation, returns, version });
     fleet.occupancy().note_peer(name, beat.incarnation, beat.sequence, &beat.loads, now);
     let mut peers = IndexMap::clone(&fleet.peers.load());
     if let Some(peer) = peers.get_mut(name) {
@@ -176,6 +179,7 @@
 /// Sends datagrams until the process stops; `claim` tells what to say of the batch jobs.
 pub async fn send_beats(
     fleet: Arc<Fleet>,
+    store: Store,
     socket: Arc<UdpSocket>,
     role: PeerRole,
     claim: impl Fn() -> Option<OwnerClaim>,
@@ -185,12 +189,16 @@
     let mut sequence = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+        let (returns, version) = (store.returns(), fleet.version());
+        fleet.note_store_told(&member.name, StoreTold { incarnation, returns, version });
         let Some(secrets) = fleet.secrets.load_full() else { continue };
         sequence += 1;
         let beat = PeerBeat {
             member: member.clone(),
             incarnation,
             sequence,
+            version,
+            store_returns: returns,
             owner: claim(),
             loads: fleet.occupancy().to_tell(),
             suspects: Vec::new(),
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,6 +60,8 @@
     budget: Arc<Mutex<StoreBudget>>,
     /// The wait for answers, where it follows those that come.
     patience: Option<Arc<Mutex<Patience>>>,
+    /// Times that the store has answered again after it had not.
+    returns: Arc<AtomicU64>,
     clock: SharedClock,
     metrics: Metrics,
 }
@@ -71,7 +75,13 @@
 
     /// Shares a budget among the threads of a process.
     pub fn of(budget: StoreBudget, clock: SharedClock, metrics: Metrics) -> Self {
-        Self { budget: Arc::new(Mutex::new(budget)), patience: None, clock, metrics }
+        Self {
+            budget: Arc::new(Mutex::new(budget)),
+            patience: None,
+            returns: Arc::default(),
+            clock,
+            metrics,
+        }
     }
 
     /// Gives calls up that take far longer than usual, instead of after a fixed time only.
@@ -145,6 +155,7 @@
             }
             _ => {
                 if self.lock().note_answer() {
+                    self.returns.fetch_add(1, Ordering::Relaxed);
                     log_event!(info, Event::StoreRecovered);
                 }
             }
@@ -165,6 +176,11 @@
         Self { api, budget }
     }
 
+    /// Returns how often the store has answered again after it had not.
+    pub fn returns(&self) -> u64 {
+        self.budget.returns.load(Ordering::Relaxed)
+    }
+
     /// Reads an object.
     pub async fn read(&self, class: CallClass, key: &str) -> Result<Option<Object>, PlatformError> {
         self.budget.permit(class, false).await?;
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod routing;
 pub mod sabotage;
 pub mod store_budget;
+pub mod store_news;
 pub mod subset;
 pub mod suspects;
 pub mod token_bucket;
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -120,6 +120,8 @@
     StoreRecovered = 501, "object API answers again";
     /// The object API gave no answer to a call, after it had answered the one before.
     StoreLost = 502, "object API gives no answer";
+    /// Waiting watches are made anew, since they may never be answered.
+    WatchesRenewed = 503, "watches made anew";
     /// An engine crashed or broke its streams.
     EngineCrashed = 600, "engine crashed";
     /// A request is refused as poison.
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -67,6 +67,10 @@
         pub incarnation: u64,
         /// Rises with each datagram of one incarnation.
         pub sequence: u64,
+        /// Version of the configuration that the sender works by, zero before the first.
+        pub version: u64,
+        /// Times that the store has answered the sender again after it had not.
+        pub store_returns: u64,
         /// The sender's claim to own the batch jobs.
         pub owner: Option<OwnerClaim>,
         /// What the sender has in flight; endpoints without load are left out.
