Keep a copy of open items' output at a process that stands by

Output that is not listed was in the owner's memory only, so that each loss of power began about a hundred items anew; three losses in 25 s left 190 waiting.

Ruled out: the share of batch. A new line in the log (420, once a second) shows that batch fills every slot that online leaves, before and after a takeover, and that no foreign load was counted.

Change: policy module progress_copies; twice a second the owner sends what items have made since the last copy to one process that stands by. That one goes on from it as owner, or passes it to the next owner as an owner does that lost the lease. Output that was replaced by that of other runs begins another chain and is sent whole.

--- a/crates/mulberry-direct/src/fleet.rs
+++ b/crates/mulberry-direct/src/fleet.rs
@@ -74,6 +74,8 @@
     pub in_flight: AtomicU64,
     /// Whether the process stops so soon that new requests could not be answered any more.
     pub closing: AtomicBool,
+    /// Whether the process follows the configuration and the endpoints; one that stands by does not.
+    is_following: AtomicBool,
     /// Rises when waiting watches are to be made anew.
     pub renewals: watch::Sender<u64>,
     store_news: Mutex<StoreNews>,
@@ -102,6 +104,7 @@
             secrets: ArcSwapOption::empty(),
             in_flight: AtomicU64::new(0),
             closing: AtomicBool::new(false),
+            is_following: AtomicBool::new(true),
             renewals: watch::Sender::new(0),
             store_news: Mutex::default(),
             occupancy: Mutex::default(),
@@ -123,6 +126,9 @@
     /// Notes what a process tells of the store, and has the waiting watches made anew if they may never
     /// be answered.
     pub fn note_store_told(&self, teller: &EntryName, told: StoreTold) {
+        if !self.is_following.load(Ordering::Relaxed) {
+            return;
+        }
         let now = self.clock.now();
         let own_version = self.version();
         let mut news = self.store_news.lock().unwrap_or_else(PoisonError::into_inner);
@@ -135,6 +141,12 @@
         }
     }
 
+    /// Notes whether the process follows the configuration and the endpoints from now on.
+    pub fn set_following(&self, is_following: bool) {
+        *self.store_news.lock().unwrap_or_else(PoisonError::into_inner) = StoreNews::default();
+        self.is_following.store(is_following, Ordering::Relaxed);
+    }
+
     /// Returns the version of the configuration in force, zero before the first.
     pub fn version(&self) -> u64 {
         self.configuration.load().as_ref().map_or(0, |c| c.version)
--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -11,6 +11,7 @@
 
 use mulberry_link::LinkConnection;
 use mulberry_link::LinkError;
+use mulberry_protocol::batch_job::CopyBatch;
 use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
@@ -79,6 +80,8 @@
             /// What there was.
             items: Vec<ItemProgress>,
         },
+        /// Keep copies of what the owner has of items, in case that it is lost.
+        KeepCopies(CopyBatch),
     }
 }
 
@@ -161,6 +164,16 @@
         }
     }
 
+    /// Makes a call at one process, owner or not, and returns its answer if it comes within `limit`.
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        call: &JobCall,
+        limit: Duration,
+    ) -> Option<JobReply> {
+        tokio::time::timeout(limit, self.exchange(address, call)).await.ok()?.ok()
+    }
+
     fn give_up(&self, problem: Problem, uncertain: bool) -> JobReply {
         let (cause, detail) = match problem {
             Problem::NoOwner => ("no-owner", "no owner of the jobs is known".to_owned()),
--- a/crates/mulberry-direct/src/owner/calls.rs
+++ b/crates/mulberry-direct/src/owner/calls.rs
@@ -7,6 +7,7 @@
 use crate::owner::Owner;
 use crate::owner::accept::NewJob;
 use crate::owner::accept::accept;
+use crate::owner::copy::keep_copies;
 use crate::owner::pass_on::take_progress;
 use crate::owner::read::end_job;
 use crate::owner::read::read_body;
@@ -22,5 +23,6 @@
         JobCall::ItemBody { job, item } => read_body(owner, &job, &item).await,
         JobCall::End { job, left_ms } => end_job(owner, &job, left_ms).await,
         JobCall::TakeProgress { job, items } => take_progress(owner, &job, items),
+        JobCall::KeepCopies(batch) => keep_copies(owner, batch),
     }
 }
--- /dev/null
+++ b/crates/mulberry-direct/src/owner/copy.rs
@@ -0,0 +1,88 @@
+//! Keeps a copy of the work on open items at a process that stands by, so that it outlives the owner.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mulberry_policy::progress_copies::CopySender;
+use mulberry_protocol::batch_job::CopyBatch;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
+use mulberry_protocol::time::Millis;
+
+use crate::job_calls::JobCall;
+use crate::job_calls::JobClient;
+use crate::job_calls::JobReply;
+use crate::owner::Owner;
+use crate::owner::OwnerState;
+use crate::owner::accept::not_owner;
+use crate::owner::pass_on::pass_on;
+use crate::peers::find_standby;
+
+/// Time between copies, in milliseconds.
+const COPY_MS: u64 = 500;
+
+/// Longest wait for the process that stands by.
+const COPY_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Copies what items have made so far, until the process stops.
+pub(crate) async fn copy_progress(owner: Rc<Owner>) {
+    let client = JobClient::new(owner.fleet.clone());
+    let mut sender = CopySender::default();
+    let mut receiver = None;
+    loop {
+        tokio::time::sleep(Duration::from_millis(COPY_MS)).await;
+        let generation = owner.state.borrow().generation;
+        let standby = find_standby(&owner.fleet).filter(|_| owner.is_current(generation));
+        let now_at = standby.map(|address| (address, generation));
+        if now_at != receiver {
+            sender.reset();
+            receiver = now_at;
+            log_event!(info, Event::CopiesBegun, standby = ?standby);
+        }
+        let Some(address) = standby else { continue };
+        let Some(batch) = next_batch(&owner, &mut sender) else { continue };
+        let reply = client.call_at(address, &JobCall::KeepCopies(batch), COPY_LIMIT).await;
+        if reply == Some(JobReply::Taken) {
+            owner.fleet.metrics.count("direct.progress_copied");
+        } else {
+            owner.fleet.metrics.count("direct.progress_not_copied");
+            sender.reset();
+        }
+    }
+}
+
+fn next_batch(owner: &Owner, sender: &mut CopySender) -> Option<CopyBatch> {
+    let state = owner.state.borrow();
+    let open = state.jobs.iter().filter(|(_, log)| !log.is_settled());
+    let outputs = open.flat_map(|(job, log)| log.outputs().map(move |output| (job, output)));
+    sender.next_batch(state.lease.term(), outputs)
+}
+
+/// Keeps what an owner sends, unless this process owns the jobs itself.
+pub(crate) fn keep_copies(owner: &Owner, batch: CopyBatch) -> JobReply {
+    let mut state = owner.state.borrow_mut();
+    if state.lease.is_held() || !state.copies.take(batch) {
+        return JobReply::Refused(not_owner());
+    }
+    JobReply::Taken
+}
+
+/// Passes what is kept here to the owner that follows the one that sent it.
+pub(crate) fn pass_copies_on(owner: &Rc<Owner>, term: u64) {
+    let copies = owner.state.borrow_mut().copies.hand_out(term);
+    if !copies.is_empty() {
+        actix_rt::spawn(pass_on(owner.clone(), copies));
+    }
+}
+
+/// Goes on from what is kept here, at the start as owner.
+pub(crate) fn use_copies(state: &mut OwnerState, now: Millis) {
+    let term = state.lease.term();
+    for (job, items) in state.copies.hand_out(term) {
+        let Some(log) = state.jobs.get_mut(&job) else { continue };
+        log_event!(info, Event::ProgressTaken, job = %job, items = items.len());
+        for item in items {
+            log.import_progress(item, now);
+        }
+    }
+}
--- a/crates/mulberry-direct/src/owner/lease.rs
+++ b/crates/mulberry-direct/src/owner/lease.rs
@@ -15,6 +15,7 @@
 use mulberry_protocol::peer::OwnerClaim;
 
 use crate::owner::Owner;
+use crate::owner::copy::pass_copies_on;
 use crate::owner::load::load_jobs;
 use crate::owner::pass_on::pass_progress_on;
 
@@ -74,7 +75,7 @@
                 log_event!(info, Event::LeaseTaken, term, revision);
                 owner.fleet.metrics.count("direct.leases_taken");
                 let generation = owner.state.borrow().generation;
-                owner.owned.send_replace(Some(generation));
+                owner.follow_as(Some(generation));
                 actix_rt::spawn(load_jobs(owner.clone()));
             }
         }
@@ -98,6 +99,9 @@
     if lost {
         lose_lease(owner, "a peer claims a higher term");
     }
+    if claim.serving {
+        pass_copies_on(owner, claim.term);
+    }
 }
 
 /// Makes the claim for datagrams.
--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -28,6 +28,7 @@
 
 use crate::owner::Owner;
 use crate::owner::OwnerState;
+use crate::owner::copy::use_copies;
 
 /// Wait after a failed load, in milliseconds.
 const RETRY_MS: u64 = 100;
@@ -61,6 +62,7 @@
                 let span_ms = owner.now().since(started);
                 log_event!(info, Event::JobsLoaded, jobs = jobs.len(), open, span_ms);
                 state.jobs = jobs;
+                use_copies(&mut state, owner.now());
                 state.serving = true;
                 drop(state);
                 owner.work.notify_one();
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod calls;
+mod copy;
 mod lease;
 mod listing;
 mod load;
@@ -31,6 +32,7 @@
 use mulberry_platform::store::Store;
 use mulberry_policy::job_log::JobLog;
 use mulberry_policy::owner_lease::OwnerLease;
+use mulberry_policy::progress_copies::ProgressCopies;
 use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::time::Millis;
@@ -80,6 +82,8 @@
     pub(crate) pace: Pace,
     /// What was made of items that were not listed when the lease was lost.
     pub(crate) left_over: Vec<(JobId, Vec<ItemProgress>)>,
+    /// What another owner has had copied here, for the next one.
+    pub(crate) copies: ProgressCopies,
 }
 
 /// How long items take, learned from those that completed.
@@ -146,6 +150,7 @@
     /// Makes the state of a process that has just started.
     pub(crate) fn new(fleet: Arc<Fleet>, store: Store) -> Rc<Self> {
         let lease = OwnerLease::new(fleet.settings.name.clone());
+        fleet.set_following(false);
         Rc::new(Self {
             fleet,
             store,
@@ -163,6 +168,7 @@
                 emptied: IndexSet::new(),
                 pace: Pace::default(),
                 left_over: Vec::new(),
+                copies: ProgressCopies::default(),
             }),
             owned: watch::Sender::new(None),
             configuration_read: Cell::new(None),
@@ -184,6 +190,12 @@
         state.serving && state.generation == generation
     }
 
+    /// Begins to follow the configuration and the endpoints as the owner of `generation`, or stops to.
+    pub(crate) fn follow_as(&self, generation: Option<u64>) {
+        self.fleet.set_following(generation.is_some());
+        self.owned.send_replace(generation);
+    }
+
     /// Stops everything that only the owner does.
     pub(crate) fn step_down(&self) {
         let mut state = self.state.borrow_mut();
@@ -194,14 +206,16 @@
         }
         state.runs.clear();
         let open = state.jobs.iter().filter(|(_, log)| !log.is_settled());
-        let progress = open.map(|(job, log)| (job.clone(), log.export_progress()));
+        let progress = open.map(|(job, log)| {
+            (job.clone(), log.outputs().map(|o| o.to_progress()).collect::<Vec<_>>())
+        });
         state.left_over = progress.filter(|(_, items)| !items.is_empty()).collect();
         state.jobs.clear();
         state.submissions.clear();
         state.last_endpoints.clear();
         state.written_at.clear();
         drop(state);
-        self.owned.send_replace(None);
+        self.follow_as(None);
         self.listed.notify_waiters();
     }
 }
--- a/crates/mulberry-direct/src/owner/pass_on.rs
+++ b/crates/mulberry-direct/src/owner/pass_on.rs
@@ -25,6 +25,12 @@
 /// Passes everything that was left at the loss of the lease to the next owner.
 pub(crate) async fn pass_progress_on(owner: Rc<Owner>) {
     let left = std::mem::take(&mut owner.state.borrow_mut().left_over);
+    pass_on(owner.clone(), left).await;
+    owner.passed_on.notify_one();
+}
+
+/// Passes output of items to the process that owns the jobs, while this one doesn't.
+pub(crate) async fn pass_on(owner: Rc<Owner>, left: Vec<(JobId, Vec<ItemProgress>)>) {
     let until = owner.now() + LIMIT_MS;
     let client = JobClient::new(owner.fleet.clone());
     for (job, items) in left {
@@ -39,7 +45,6 @@
             break;
         }
     }
-    owner.passed_on.notify_one();
 }
 
 /// Takes what an earlier owner had of a job's items.
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -19,6 +19,7 @@
 use crate::follow::follow_configuration;
 use crate::follow::follow_endpoints;
 use crate::owner::Owner;
+use crate::owner::copy::copy_progress;
 use crate::owner::lease::hand_over;
 use crate::owner::lease::keep_lease;
 use crate::owner::lease::own_claim;
@@ -84,6 +85,7 @@
     actix_rt::spawn(accept_links(owner.clone(), listener));
     actix_rt::spawn(keep_lease(owner.clone()));
     actix_rt::spawn(schedule(owner.clone()));
+    actix_rt::spawn(copy_progress(owner.clone()));
     actix_rt::spawn(list_results(owner.clone()));
     actix_rt::spawn(follow_retirements(owner.clone()));
     actix_rt::spawn(carry_out_retirements(owner.clone()));
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -14,9 +14,12 @@
 use mulberry_policy::job_log::ItemPhase;
 use mulberry_protocol::endpoint::EndpointEntry;
 use mulberry_protocol::endpoint::EndpointState;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::route::Configuration;
 use mulberry_protocol::route::Route;
+use mulberry_protocol::time::Millis;
 
 use crate::owner::ItemKey;
 use crate::owner::Owner;
@@ -28,11 +31,15 @@
 /// Time between plans, in milliseconds.
 const PLAN_MS: u64 = 50;
 
+/// Shortest time between two lines on the plan of a service, in milliseconds.
+const PLAN_LOG_MS: u64 = 1_000;
+
 /// Runs of an item that may fail if its route is not known.
 const DEFAULT_ATTEMPTS: u32 = 3;
 
 /// Plans until the process stops.
 pub(crate) async fn schedule(owner: Rc<Owner>) {
+    let mut told = IndexMap::new();
     loop {
         let pause = tokio::time::sleep(Duration::from_millis(PLAN_MS));
         tokio::select! {
@@ -40,12 +47,20 @@
             () = owner.work.notified() => {}
         }
         if owner.state.borrow().serving && !owner.fleet.stop.is_triggered() {
-            plan_all(&owner);
+            plan_all(&owner, &mut told);
         }
     }
 }
 
-fn plan_all(owner: &Rc<Owner>) {
+/// What was planned for a service since its last line in the log.
+#[derive(Debug, Clone, Copy, Default)]
+struct PlanTold {
+    at: Option<Millis>,
+    starts: usize,
+    stops: usize,
+}
+
+fn plan_all(owner: &Rc<Owner>, told: &mut IndexMap<ServiceName, PlanTold>) {
     let Some(configuration) = owner.fleet.configuration.load_full() else { return };
     let endpoints = owner.fleet.endpoints.load_full();
     for service in services_of_batch(&configuration) {
@@ -53,7 +68,10 @@
             .values()
             .filter(|e| e.service == service && e.state == EndpointState::Ready)
             .collect();
-        let plan = plan_service(owner, &configuration, &service, &usable);
+        let work = work_of(owner, &configuration, &service);
+        let shared = shared_endpoints(owner, &usable);
+        let plan = plan_batch(&shared, &work.running, &work.waiting, owner.now());
+        tell_plan(owner, told.entry(service).or_default(), &shared, &work, &plan);
         apply(owner, &configuration, plan, &usable);
     }
 }
@@ -69,15 +87,15 @@
     services
 }
 
-fn plan_service(
-    owner: &Owner,
-    configuration: &Configuration,
-    service: &ServiceName,
-    usable: &[&EndpointEntry],
-) -> SharePlan<ItemKey> {
+/// Items of a service that run or could run.
+struct BatchWork {
+    running: Vec<RunningItem<ItemKey>>,
+    waiting: Vec<WaitingItem<ItemKey>>,
+}
+
+fn work_of(owner: &Owner, configuration: &Configuration, service: &ServiceName) -> BatchWork {
     let now = owner.now();
     let state = owner.state.borrow();
-    let shared = shared_endpoints(owner, usable);
     let mut running = Vec::new();
     let mut waiting = Vec::new();
     for (id, log) in state.jobs.iter().filter(|(_, log)| !log.is_settled()) {
@@ -109,7 +127,37 @@
             }
         }
     }
-    plan_batch(&shared, &running, &waiting, now)
+    BatchWork { running, waiting }
+}
+
+/// Writes what was planned for a service, once a second while it has items.
+fn tell_plan(
+    owner: &Owner,
+    told: &mut PlanTold,
+    shared: &[SharedEndpoint],
+    work: &BatchWork,
+    plan: &SharePlan<ItemKey>,
+) {
+    told.starts += plan.starts.len();
+    told.stops += plan.stops.len();
+    let now = owner.now();
+    let is_idle = work.running.is_empty() && work.waiting.is_empty();
+    if is_idle || told.at.is_some_and(|at| now.since(at) < PLAN_LOG_MS) {
+        return;
+    }
+    log_event!(
+        info,
+        Event::BatchPlanned,
+        endpoints = shared.iter().filter(|e| e.open).count(),
+        slots = shared.iter().map(|e| e.slots).sum::<u32>(),
+        online = shared.iter().map(|e| e.online).sum::<u32>(),
+        foreign = shared.iter().map(|e| e.foreign).sum::<u32>(),
+        running = work.running.len(),
+        waiting = work.waiting.len(),
+        started = told.starts,
+        stopped = told.stops
+    );
+    *told = PlanTold { at: Some(now), starts: 0, stops: 0 };
 }
 
 fn shared_endpoints(owner: &Owner, usable: &[&EndpointEntry]) -> Vec<SharedEndpoint> {
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -224,6 +224,20 @@
 /// Age from which a claim to own the batch jobs is not followed, in milliseconds.
 const CLAIM_TTL_MS: u64 = 1_200;
 
+/// Age from which a process that stands by is not trusted to keep copies, in milliseconds.
+const STANDBY_TTL_MS: u64 = 1_000;
+
+/// Returns the process that stands by after this one, in the order of their names.
+pub fn find_standby(fleet: &Fleet) -> Option<std::net::SocketAddr> {
+    let now = fleet.clock.now();
+    let peers = fleet.peers.load();
+    let own = &fleet.settings.name;
+    let heard = |p: &&Peer| p.heard_at.is_some_and(|at| now.since(at) < STANDBY_TTL_MS);
+    let standbys = peers.values().filter(heard).filter(|p| p.member.role == PeerRole::Owner);
+    let next = standbys.min_by_key(|p| (p.member.name < *own, p.member.name.clone()))?;
+    Some(next.member.address)
+}
+
 /// Returns the peer that owns the batch jobs and serves them.
 pub fn find_owner(fleet: &Fleet) -> Option<(EntryName, std::net::SocketAddr)> {
     let now = fleet.clock.now();
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -38,6 +38,38 @@
     pub events: u32,
     /// Number of the last event.
     pub last_event: Option<u64>,
+    /// Rises when the output is replaced by that of other runs, instead of being added to.
+    pub chain: u64,
+}
+
+/// Output of an item that is not listed, as it is kept.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ItemOutput<'a> {
+    /// Name of the item.
+    pub item: &'a Arc<str>,
+    /// Data of the events so far, one a line.
+    pub text: &'a str,
+    /// Events so far.
+    pub events: u32,
+    /// Number of the last event.
+    pub last_event: Option<u64>,
+    /// Rises when the output is replaced instead of being added to.
+    pub chain: u64,
+    /// How the item ended, if it has.
+    pub ended: Option<ResultState>,
+}
+
+impl ItemOutput<'_> {
+    /// Makes an owned copy for another process.
+    pub fn to_progress(&self) -> ItemProgress {
+        ItemProgress {
+            item: self.item.clone(),
+            text: self.text.to_owned(),
+            events: self.events,
+            last_event: self.last_event,
+            ended: self.ended,
+        }
+    }
 }
 
 impl Progress {
@@ -258,24 +290,26 @@
     }
 
     /// Lists what was made of items that are not listed.
-    pub fn export_progress(&self) -> Vec<ItemProgress> {
-        let ended = self.pending.iter().map(|r| ItemProgress {
-            item: r.item.clone(),
-            text: r.text.to_string(),
+    pub fn outputs(&self) -> impl Iterator<Item = ItemOutput<'_>> {
+        let ended = self.pending.iter().map(|r| ItemOutput {
+            item: &r.item,
+            text: &r.text,
             events: 0,
             last_event: None,
+            chain: 0,
             ended: Some(r.state),
         });
         let begun = self.items.iter().filter(|s| s.progress.events > 0);
         let open = |s: &&ItemState| matches!(s.phase, ItemPhase::Waiting(_) | ItemPhase::Running);
-        let begun = begun.filter(open).map(|s| ItemProgress {
-            item: s.item.id.clone(),
-            text: s.progress.text.clone(),
+        let begun = begun.filter(open).map(|s| ItemOutput {
+            item: &s.item.id,
+            text: &s.progress.text,
             events: s.progress.events,
             last_event: s.progress.last_event,
+            chain: s.progress.chain,
             ended: None,
         });
-        ended.chain(begun).collect()
+        ended.chain(begun)
     }
 
     /// Takes what an earlier owner made of an item, if it is more than what there is. Returns the
@@ -296,8 +330,12 @@
             self.pending.push(ItemResult { item: told.item, state: ended, text });
         } else {
             state.phase = ItemPhase::Waiting(now);
-            state.progress =
-                Progress { text: told.text, events: told.events, last_event: told.last_event };
+            state.progress = Progress {
+                text: told.text,
+                events: told.events,
+                last_event: told.last_event,
+                chain: state.progress.chain + 1,
+            };
         }
         was_running.then_some(index)
     }
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ownership;
 pub mod patience;
 pub mod peak;
+pub mod progress_copies;
 pub mod queue_limit;
 pub mod retry;
 pub mod routing;
--- a/crates/mulberry-policy/src/owner_lease.rs
+++ b/crates/mulberry-policy/src/owner_lease.rs
@@ -200,6 +200,11 @@
         self.held.is_some()
     }
 
+    /// Returns the term of the held lease, zero if none is held.
+    pub fn term(&self) -> u64 {
+        self.held.as_ref().map_or(0, |h| h.record.term)
+    }
+
     /// Tells whether no other process can have taken the lease yet.
     pub fn is_certain(&self, now: Millis) -> bool {
         self.held.as_ref().is_some_and(|h| now.since(h.confirmed_at) < LEASE_MS - MARGIN_MS)
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -180,7 +180,7 @@
             (1..=number).for_each(|n| item.progress.push(n, "x"));
         }
     }
-    let told = before.export_progress();
+    let told: Vec<_> = before.outputs().map(|o| o.to_progress()).collect();
     assert_eq!(told.len(), 3);
     let mut after = job(4);
     if let Some(item) = after.item_mut(1) {
@@ -196,6 +196,8 @@
     assert_eq!(stops, [None, Some(1), None], "only a run that is behind is stopped");
     assert_eq!(after.items()[1].progress.last_event, Some(2));
     assert_eq!(after.items()[2].progress.last_event, Some(5), "what is ahead is kept");
+    let chains = [1, 2].map(|index| after.items()[index].progress.chain);
+    assert_eq!(chains, [1, 0], "replaced output begins another chain");
     let (_, segment) = after.begin_segment().unwrap_or_default();
     assert_eq!(segment.results, [result("i0", "whole")]);
     for progress in told.iter().cloned() {
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::closed_set;
+use crate::name::JobId;
 use crate::value_type;
 
 /// Most bytes of results that one segment holds, and of items that one part of a job holds.
@@ -94,6 +95,30 @@
     }
 }
 
+value_type! {
+    /// What a process that stands by lacks of an item's output.
+    pub struct ItemCopy {
+        /// Whether the text goes on where the text that the receiver holds ends.
+        pub goes_on: bool,
+        /// The output; its text is only the new part if it goes on.
+        pub progress: ItemProgress,
+    }
+}
+
+value_type! {
+    /// What a process that stands by lacks of the output of all items that are not listed.
+    pub struct CopyBatch {
+        /// Term of the sender's lease.
+        pub term: u64,
+        /// Number of the batch; what was sent before is void from 0 on.
+        pub number: u64,
+        /// New output by job.
+        pub items: Vec<(JobId, Vec<ItemCopy>)>,
+        /// Items that were copied and need no copy any more.
+        pub dropped: Vec<(JobId, Arc<str>)>,
+    }
+}
+
 /// Returns the key of a job.
 pub fn job_key(job: &str) -> String {
     format!("jobs/{job}")
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -114,6 +114,10 @@
     VmEmptied = 418, "VM emptied";
     /// The work of an earlier owner on open items was taken.
     ProgressTaken = 419, "progress of an earlier owner taken";
+    /// How batch shares the endpoints of a service.
+    BatchPlanned = 420, "batch planned";
+    /// The owner begins to copy what items have made to another process.
+    CopiesBegun = 421, "copies of progress begun";
     /// The object API gave no answer.
     StoreFailed = 500, "object API failed";
     /// The object API answers again.
