Bound the datagrams between processes by role and fleet size

Ruled out: watches of the store (0.23 calls a second of an entry at any size) and relaying (per entry the load is the same at all three sizes).

Change: policy module beat_plan. Ten a second between entries (up to 24; with more, each gets its part of the beats), among processes that may own the jobs, and with the owner in both directions; else once a second. A datagram says when the next one follows, and a load counts until three were missed. The address at which peers reach a process is a setting of its own.

--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -1,5 +1,6 @@
 //! Finds the other processes by the platform's store and exchanges datagrams with them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,12 @@
 use mulberry_platform::store::WriteEnd;
 use mulberry_platform::store::parse_json;
 use mulberry_platform::store::to_json;
+use mulberry_policy::beat_plan::BEAT_MS;
+use mulberry_policy::beat_plan::BeatReceiver;
+use mulberry_policy::beat_plan::BeatSender;
+use mulberry_policy::beat_plan::beat_interval_ms;
+use mulberry_policy::beat_plan::load_ttl_ms;
+use mulberry_policy::occupancy::TellsOfLoad;
 use mulberry_policy::store_budget::CallClass;
 use mulberry_policy::store_news::StoreTold;
 use mulberry_protocol::auth::SecretRing;
@@ -30,18 +37,12 @@
 use crate::fleet::Fleet;
 use crate::fleet::Peer;
 
-/// Time between datagrams, in milliseconds.
-pub const BEAT_MS: u64 = 100;
-
 /// Time between lists of the members, in milliseconds.
 const RELIST_MS: u64 = 30_000;
 
 /// Wait after a failed call, in milliseconds.
 const RETRY_MS: u64 = 300;
 
-/// Silence after which a peer gets only each tenth datagram, in milliseconds.
-const SILENT_MS: u64 = 5_000;
-
 /// Key of the secret that peers share.
 const SECRET_KEY: &str = "secrets/peers";
 
@@ -53,7 +54,7 @@
 
 /// Returns this process as peers reach it.
 pub fn own_member(fleet: &Fleet, role: PeerRole) -> Member {
-    Member { name: fleet.settings.name.clone(), role, address: fleet.settings.peers }
+    Member { name: fleet.settings.name.clone(), role, address: fleet.settings.advertised }
 }
 
 /// Registers the process and keeps the list of its peers, until the process stops.
@@ -167,7 +168,13 @@
     let name = &beat.member.name;
     let (incarnation, returns, version) = (beat.incarnation, beat.store_returns, beat.version);
     fleet.note_store_told(name, StoreTold { incarnation, returns, version });
-    fleet.occupancy().note_peer(name, beat.incarnation, beat.sequence, &beat.loads, now);
+    let told = TellsOfLoad {
+        incarnation,
+        sequence: beat.sequence,
+        ttl_ms: load_ttl_ms(beat.next_ms),
+        loads: &beat.loads,
+    };
+    fleet.occupancy().note_peer(name, told, now);
     let mut peers = IndexMap::clone(&fleet.peers.load());
     if let Some(peer) = peers.get_mut(name) {
         peer.heard_at = Some(now);
@@ -193,32 +200,53 @@
         fleet.note_store_told(&member.name, StoreTold { incarnation, returns, version });
         let Some(secrets) = fleet.secrets.load_full() else { continue };
         sequence += 1;
-        let beat = PeerBeat {
+        let mut beat = PeerBeat {
             member: member.clone(),
             incarnation,
             sequence,
+            next_ms: BEAT_MS,
             version,
             store_returns: returns,
             owner: claim(),
             loads: fleet.occupancy().to_tell(),
             suspects: Vec::new(),
         };
-        let datagram = match encode_beat(&beat, &secrets) {
-            Ok(datagram) => datagram,
-            Err(e) => {
-                log_event!(error, Event::DatagramRefused, error = %e);
-                continue;
+        for (next_ms, addresses) in due_receivers(&fleet, &beat) {
+            beat.next_ms = next_ms;
+            match encode_beat(&beat, &secrets) {
+                Ok(datagram) => addresses.into_iter().for_each(|address| {
+                    // A datagram that can't be sent is like one that is lost.
+                    let _unsent = socket.try_send_to(&datagram, address);
+                }),
+                Err(e) => log_event!(error, Event::DatagramRefused, error = %e),
             }
+        }
+    }
+}
+
+/// Returns the peers that get this datagram, by the time until their next one.
+fn due_receivers(fleet: &Fleet, beat: &PeerBeat) -> IndexMap<u64, Vec<SocketAddr>> {
+    let now = fleet.clock.now();
+    let peers = fleet.peers.load();
+    let sender = BeatSender {
+        role: beat.member.role,
+        owns_jobs: beat.owner.is_some(),
+        entries: peers.values().filter(|p| p.member.role == PeerRole::Entry).count(),
+    };
+    let mut due: IndexMap<u64, Vec<SocketAddr>> = IndexMap::new();
+    for (index, peer) in peers.values().enumerate() {
+        let receiver = BeatReceiver {
+            role: peer.member.role,
+            owns_jobs: peer.owner.is_some(),
+            silent_ms: peer.heard_at.map(|at| now.since(at)),
         };
-        let now = fleet.clock.now();
-        for peer in fleet.peers.load().values() {
-            let silent = peer.heard_at.is_none_or(|at| now.since(at) > SILENT_MS);
-            if !silent || sequence % 10 == 1 {
-                // A datagram that can't be sent is like one that is lost.
-                let _unsent = socket.try_send_to(&datagram, peer.member.address);
-            }
+        let interval_ms = beat_interval_ms(sender, receiver);
+        // Peers with the same interval take turns.
+        if (beat.sequence + index as u64).is_multiple_of(interval_ms / BEAT_MS) {
+            due.entry(interval_ms).or_default().push(peer.member.address);
         }
     }
+    due
 }
 
 /// Age from which a claim to own the batch jobs is not followed, in milliseconds.
@@ -228,7 +256,7 @@
 const STANDBY_TTL_MS: u64 = 1_000;
 
 /// Returns the process that stands by after this one, in the order of their names.
-pub fn find_standby(fleet: &Fleet) -> Option<std::net::SocketAddr> {
+pub fn find_standby(fleet: &Fleet) -> Option<SocketAddr> {
     let now = fleet.clock.now();
     let peers = fleet.peers.load();
     let own = &fleet.settings.name;
@@ -239,7 +267,7 @@
 }
 
 /// Returns the peer that owns the batch jobs and serves them.
-pub fn find_owner(fleet: &Fleet) -> Option<(EntryName, std::net::SocketAddr)> {
+pub fn find_owner(fleet: &Fleet) -> Option<(EntryName, SocketAddr)> {
     let now = fleet.clock.now();
     let peers = fleet.peers.load();
     let fresh = |p: &&Peer| p.heard_at.is_some_and(|at| now.since(at) < CLAIM_TTL_MS);
--- a/crates/mulberry-direct/src/settings.rs
+++ b/crates/mulberry-direct/src/settings.rs
@@ -19,8 +19,10 @@
     pub callers: Option<SocketAddr>,
     /// Address at which the balancer asks for readiness.
     pub readiness: Option<SocketAddr>,
-    /// Address of datagrams and links of peers.
+    /// Address on which datagrams and links of peers are taken.
     pub peers: SocketAddr,
+    /// Address at which peers reach that one.
+    pub advertised: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod batch_share;
+pub mod beat_plan;
 pub mod bundle_order;
 pub mod claims;
 pub mod ejection;
--- a/crates/mulberry-policy/src/occupancy.rs
+++ b/crates/mulberry-policy/src/occupancy.rs
@@ -6,9 +6,6 @@
 use mulberry_protocol::peer::EndpointLoad;
 use mulberry_protocol::time::Millis;
 
-/// Age from which a peer's datagram no longer counts, in milliseconds.
-pub const PEER_LOAD_TTL_MS: u64 = 1_000;
-
 /// What is in flight at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -36,12 +33,26 @@
 
 #[derive(Debug)]
 struct PeerLoads {
-    heard_at: Millis,
+    /// When the loads no longer count.
+    stale_at: Millis,
     incarnation: u64,
     sequence: u64,
     loads: IndexMap<u64, Load>,
 }
 
+/// A peer's datagram, as far as it tells of loads.
+#[derive(Debug, Clone, Copy)]
+pub struct TellsOfLoad<'a> {
+    /// Number drawn at the peer's start.
+    pub incarnation: u64,
+    /// Rises with each datagram of one incarnation.
+    pub sequence: u64,
+    /// Age up to which the loads count, in milliseconds.
+    pub ttl_ms: u64,
+    /// What the peer has in flight.
+    pub loads: &'a [EndpointLoad],
+}
+
 /// What is in flight, as one process knows it.
 #[derive(Debug, Default)]
 pub struct Occupancy {
@@ -65,26 +76,22 @@
     }
 
     /// Takes a peer's datagram; older ones than the last are ignored.
-    pub fn note_peer(
-        &mut self,
-        peer: &EntryName,
-        incarnation: u64,
-        sequence: u64,
-        loads: &[EndpointLoad],
-        now: Millis,
-    ) {
+    pub fn note_peer(&mut self, peer: &EntryName, told: TellsOfLoad<'_>, now: Millis) {
         let stale = self
             .peers
             .get(peer)
-            .is_some_and(|p| p.incarnation == incarnation && p.sequence >= sequence);
+            .is_some_and(|p| p.incarnation == told.incarnation && p.sequence >= told.sequence);
         if stale {
             return;
         }
-        let loads = loads
+        let loads = told
+            .loads
             .iter()
             .map(|l| (l.endpoint, Load { online: l.online.into(), batch: l.batch.into() }))
             .collect();
-        self.peers.insert(peer.clone(), PeerLoads { heard_at: now, incarnation, sequence, loads });
+        let (incarnation, sequence) = (told.incarnation, told.sequence);
+        let stale_at = now + told.ttl_ms;
+        self.peers.insert(peer.clone(), PeerLoads { stale_at, incarnation, sequence, loads });
     }
 
     /// Returns what this process has in flight at an endpoint.
@@ -95,7 +102,7 @@
     /// Returns what all processes have in flight at an endpoint.
     pub fn all(&self, endpoint: u64, now: Millis) -> Load {
         let mut sum = self.own(endpoint);
-        for peer in self.peers.values().filter(|p| now.since(p.heard_at) < PEER_LOAD_TTL_MS) {
+        for peer in self.peers.values().filter(|p| now < p.stale_at) {
             let load = peer.loads.get(&endpoint).copied().unwrap_or_default();
             sum.online += load.online;
             sum.batch += load.batch;
--- a/crates/mulberry-policy/tests/batch_share.rs
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -7,13 +7,20 @@
 use mulberry_policy::batch_share::plan_batch;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
-use mulberry_policy::occupancy::PEER_LOAD_TTL_MS;
+use mulberry_policy::occupancy::TellsOfLoad;
 use mulberry_protocol::peer::EndpointLoad;
 use mulberry_protocol::time::Millis;
 
 const SLOTS: u32 = 8;
 const NOW: Millis = Millis(100_000);
 
+/// Age up to which told loads count, in milliseconds.
+const LOAD_TTL_MS: u64 = 1_000;
+
+fn tells(incarnation: u64, sequence: u64, loads: &[EndpointLoad]) -> TellsOfLoad<'_> {
+    TellsOfLoad { incarnation, sequence, ttl_ms: LOAD_TTL_MS, loads }
+}
+
 fn endpoint(key: u64, online: u32) -> SharedEndpoint {
     SharedEndpoint { key, slots: SLOTS, online, foreign: 0, open: true }
 }
@@ -113,13 +120,13 @@
     let mut occupancy = Occupancy::default();
     occupancy.begin(1, LoadClass::Online);
     let told = [EndpointLoad { endpoint: 1, online: 3, batch: 2 }];
-    occupancy.note_peer(&"p".into(), 7, 5, &told, NOW);
+    occupancy.note_peer(&"p".into(), tells(7, 5, &told), NOW);
     let late = [EndpointLoad { endpoint: 1, online: 9, batch: 9 }];
-    occupancy.note_peer(&"p".into(), 7, 4, &late, NOW);
+    occupancy.note_peer(&"p".into(), tells(7, 4, &late), NOW);
     let all = occupancy.all(1, NOW);
     assert_eq!((all.online, all.batch), (4, 2), "an older datagram is ignored");
-    assert_eq!(occupancy.all(1, NOW + PEER_LOAD_TTL_MS).online, 1);
-    occupancy.note_peer(&"p".into(), 8, 1, &[], NOW);
+    assert_eq!(occupancy.all(1, NOW + LOAD_TTL_MS).online, 1);
+    occupancy.note_peer(&"p".into(), tells(8, 1, &[]), NOW);
     assert_eq!(occupancy.all(1, NOW).total(), 1, "a restarted peer counts anew");
     occupancy.end(1, LoadClass::Online);
     assert!(occupancy.to_tell().is_empty());
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -67,6 +67,8 @@
         pub incarnation: u64,
         /// Rises with each datagram of one incarnation.
         pub sequence: u64,
+        /// Time until the sender's next datagram to the same receiver, in milliseconds.
+        pub next_ms: u64,
         /// Version of the configuration that the sender works by, zero before the first.
         pub version: u64,
         /// Times that the store has answered the sender again after it had not.
