--- a/crates/mulberry-process/src/clock.rs
+++ b/crates/mulberry-process/src/clock.rs
@@ -25,11 +25,19 @@
 #[derive(Debug)]
 pub struct SystemClock {
     start: Instant,
+    unix_offset_s: i64,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self { start: Instant::now(), unix_offset_s: 0 }
+    }
+}
+
+impl SystemClock {
+    /// Makes a clock whose wall-clock time is wrong by some seconds, for tests.
+    pub fn with_unix_offset(unix_offset_s: i64) -> Self {
+        Self { unix_offset_s, ..Self::default() }
     }
 }
 
@@ -40,7 +48,8 @@
     }
 
     fn unix_s(&self) -> u64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs())
+        let unix_s = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+        unix_s.saturating_add_signed(self.unix_offset_s)
     }
 }
 
