Endpoints that have just started get fewer requests

Ruled out: leaving them out until they are warm (in a release of a whole service nothing would be left); the age of the entry (written anew with each heartbeat while the time runs down).

--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -20,6 +20,7 @@
 use mulberry_policy::retry::RetryVerdict;
 use mulberry_policy::retry::final_refusal;
 use mulberry_policy::retry::judge_attempt;
+use mulberry_policy::routing::COLD_WAIT_MS;
 use mulberry_policy::routing::Candidate;
 use mulberry_policy::routing::RoutingMode;
 use mulberry_policy::routing::choose_endpoint;
@@ -316,7 +317,7 @@
                 own_in_flight: occupancy.own(endpoint.load_key()).online,
                 reported_online: load.total(),
                 limit: endpoint.slots,
-                reported_wait_ms: 0,
+                reported_wait_ms: if endpoint.is_cold { COLD_WAIT_MS } else { 0 },
                 avoid: ejector.is_ejected(&endpoint.name, now),
             });
         }
--- a/crates/mulberry-policy/src/routing.rs
+++ b/crates/mulberry-policy/src/routing.rs
@@ -59,6 +59,9 @@
 /// Difference of cost, as a share of the limit, that doesn't matter between endpoints.
 const COST_SLACK: f64 = 0.01;
 
+/// Wait that counts for an endpoint that has just started and is still slow, in milliseconds.
+pub const COLD_WAIT_MS: u32 = 500;
+
 /// Load from which the zone no longer matters.
 const FULL_LOAD: f64 = 1.0;
 
--- a/crates/mulberry-policy/tests/endpoint_book.rs
+++ b/crates/mulberry-policy/tests/endpoint_book.rs
@@ -17,6 +17,7 @@
         zone: ZoneName::new("a"),
         slots: 8,
         state,
+        is_cold: false,
         started_unix_ms: 1,
     }
 }
--- a/crates/mulberry-protocol/src/endpoint.rs
+++ b/crates/mulberry-protocol/src/endpoint.rs
@@ -34,6 +34,8 @@
         pub slots: u32,
         /// What it says of itself.
         pub state: EndpointState,
+        /// Whether it has started so lately that it is still slow.
+        pub is_cold: bool,
         /// Unix time of its start in milliseconds; another start has another value.
         pub started_unix_ms: u64,
     }
