--- a/crates/mulberry-direct/src/dialect.rs
+++ b/crates/mulberry-direct/src/dialect.rs
@@ -30,8 +30,6 @@
     pub deadline_ms: HeaderName,
     /// Number of the last event that the receiver holds.
     pub last_event_id: HeaderName,
-    /// Signature of the endpoint that answered.
-    pub stamp: HeaderName,
     /// Name of the endpoint that is meant.
     pub expected_endpoint: HeaderName,
     /// Marks an answer to a request that did not run.
--- a/crates/mulberry-direct/src/owner/read.rs
+++ b/crates/mulberry-direct/src/owner/read.rs
@@ -6,7 +6,6 @@
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
 
-use mulberry_platform::error::PlatformError;
 use mulberry_policy::job_log::JobLog;
 use mulberry_protocol::batch_job::ItemResult;
 use mulberry_protocol::event::Event;
@@ -132,10 +131,6 @@
     match load_job(owner, job).await {
         Ok(true) => None,
         Ok(false) => Some(JobReply::NotFound),
-        Err(e) => Some(JobReply::Refused(unsure(e))),
+        Err(e) => Some(JobReply::Refused(e.into_refusal())),
     }
 }
-
-fn unsure(error: PlatformError) -> Refusal {
-    error.into_refusal()
-}
--- /dev/null
+++ b/crates/mulberry-entry/src/jobs/control/items.rs
@@ -0,0 +1,199 @@
+//! Links from sides, and the items that are handed out over them.
+
+use actix::Handler;
+use actix::Message;
+use actix::MessageResult;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use mulberry_policy::job_queue::ItemKey;
+use mulberry_policy::job_queue::PullOffer;
+use mulberry_policy::suspects::Standing;
+use mulberry_protocol::heartbeat::Suspect;
+use mulberry_protocol::job::ItemEnd;
+use mulberry_protocol::job::Job;
+use mulberry_protocol::job::JobLine;
+use mulberry_protocol::link::BatchItem;
+use mulberry_protocol::link::Dispatch;
+use mulberry_protocol::link::FromOwner;
+use mulberry_protocol::link::ItemAnswer;
+use mulberry_protocol::name::ModelName;
+use mulberry_protocol::name::ServiceName;
+use mulberry_protocol::object_key;
+use mulberry_protocol::refusal::Refusal;
+use mulberry_protocol::refusal::RefusalReason;
+
+use super::JobControl;
+use super::LinkId;
+use crate::dispatch::learn_suspects;
+use crate::http::estimate_tokens;
+use crate::http::fingerprint_of;
+use crate::shared::Shared;
+
+/// Opens a link from a side.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct LinkOpened {
+    pub link: LinkId,
+    pub tx: mpsc::UnboundedSender<FromOwner>,
+}
+
+impl Handler<LinkOpened> for JobControl {
+    type Result = ();
+
+    fn handle(&mut self, opened: LinkOpened, _: &mut Self::Context) {
+        self.links.insert(opened.link, opened.tx);
+    }
+}
+
+/// Closes a link. Its items are handed to others.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct LinkClosed {
+    pub link: LinkId,
+}
+
+impl Handler<LinkClosed> for JobControl {
+    type Result = ();
+
+    fn handle(&mut self, closed: LinkClosed, _: &mut Self::Context) {
+        self.links.shift_remove(&closed.link);
+        let now = self.shared.clock.now();
+        let lost: Vec<ItemKey> = self
+            .outstanding
+            .iter()
+            .filter(|(_, link)| **link == closed.link)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in lost {
+            self.outstanding.swap_remove(&key);
+            let refusal = Refusal::unknown(RefusalReason::LinkFailed, "the side went away");
+            self.shared.metrics.count("entry.items_lost_with_side");
+            self.queue.note_item(&key, Err(refusal), now);
+        }
+    }
+}
+
+/// Asks for items.
+#[derive(Message)]
+#[rtype(result = "Vec<BatchItem>")]
+pub(crate) struct TakeItems {
+    pub link: LinkId,
+    pub service: ServiceName,
+    pub models: Vec<ModelName>,
+    pub room: usize,
+}
+
+impl Handler<TakeItems> for JobControl {
+    type Result = MessageResult<TakeItems>;
+
+    fn handle(&mut self, take: TakeItems, _: &mut Self::Context) -> Self::Result {
+        if self.leaving || !self.links.contains_key(&take.link) {
+            return MessageResult(Vec::new());
+        }
+        let offer = PullOffer { service: &take.service, models: &take.models, room: take.room };
+        let now = self.shared.clock.now();
+        let keys = self.queue.take(&offer, now);
+        let mut items = Vec::with_capacity(keys.len());
+        for key in keys {
+            if let Some(item) = self.new_item(&key) {
+                self.outstanding.insert(key, take.link);
+                items.push(item);
+            }
+        }
+        self.shared.metrics.add("entry.items_handed_out", items.len() as u64);
+        MessageResult(items)
+    }
+}
+
+/// Reports how a side ended an item.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct ItemDone {
+    pub link: LinkId,
+    pub key: ItemKey,
+    pub result: Result<ItemAnswer, Refusal>,
+    pub suspects: Vec<Suspect>,
+}
+
+impl Handler<ItemDone> for JobControl {
+    type Result = ();
+
+    fn handle(&mut self, done: ItemDone, _: &mut Self::Context) {
+        if let Some(controls) = &self.controls {
+            learn_suspects(&self.shared, controls, &done.suspects);
+        }
+        // A report of an item that was handed to another side since is late.
+        if self.outstanding.get(&done.key) != Some(&done.link) {
+            self.shared.metrics.count("entry.items_late");
+            return;
+        }
+        self.outstanding.swap_remove(&done.key);
+        let now = self.shared.clock.now();
+        let end = match done.result {
+            Ok(answer) => Ok(into_end(&answer)),
+            Err(refusal) => {
+                let reason = refusal.reason.as_str();
+                self.shared.metrics.count_reason("entry.items_refused", reason);
+                Err(refusal)
+            }
+        };
+        self.queue.note_item(&done.key, end, now);
+    }
+}
+
+fn into_end(answer: &ItemAnswer) -> ItemEnd {
+    let as_text = || serde_json::Value::String(String::from_utf8_lossy(&answer.body).into_owned());
+    let body = serde_json::from_slice(&answer.body).unwrap_or_else(|_| as_text());
+    ItemEnd::Answered { status: answer.status, body }
+}
+
+impl JobControl {
+    /// Makes the message that hands an item to a side, or ends the item if it may not run.
+    fn new_item(&mut self, key: &ItemKey) -> Option<BatchItem> {
+        let job = self.queue.job(&key.job)?.clone();
+        let chunk = key.index / job.chunk_items.max(1);
+        let at = (key.index - job.chunk_range(chunk).start) as usize;
+        let line = self.lines.get(&(key.job.clone(), chunk))?.get(at)?;
+        let shard = object_key::job_shard(&key.job, self.shared.settings.job_shards);
+        let owner_number = self.ownership.owner_number(shard)?;
+        let dispatch = into_dispatch(&job, line, &self.shared);
+        let now = self.shared.clock.now();
+        let standing = self.shared.guards.suspects().standing(dispatch.fingerprint, now);
+        if standing == Standing::Refused {
+            let detail = "the item crashed endpoints before";
+            let refusal = Refusal::not_run(RefusalReason::Poison, detail);
+            self.queue.note_item(key, Err(refusal), now);
+            return None;
+        }
+        let dispatch = Dispatch { alone: standing == Standing::Alone, ..dispatch };
+        Some(BatchItem { job: key.job.clone(), index: key.index, owner_number, shard, dispatch })
+    }
+}
+
+fn into_dispatch(job: &Job, line: &JobLine, shared: &Shared) -> Dispatch {
+    let body = bytes::Bytes::from(line.body.to_string());
+    let number = shared.snapshot.load().bundle.as_ref().map_or(0, |b| b.number);
+    // Plain services are called by the path behind their name.
+    let prefix = format!("/services/{}", job.service);
+    let path = line.url.strip_prefix(&prefix).unwrap_or(&line.url).to_owned();
+    let answer_tokens = line.body.get("max_tokens").and_then(serde_json::Value::as_u64);
+    Dispatch {
+        attempt: rand::rng().random(),
+        service: job.service.clone(),
+        model: job.model.clone(),
+        client: job.client.clone(),
+        method: line.method.clone(),
+        content_type: "application/json".to_owned(),
+        idempotent: job.idempotent,
+        stream: false,
+        deadline_ms: u32::MAX,
+        fingerprint: fingerprint_of(&line.method, &path, &body),
+        prompt_tokens: estimate_tokens(body.len()),
+        answer_tokens: answer_tokens.unwrap_or(0) as u32,
+        bundle: number,
+        alone: false,
+        path,
+        body,
+    }
+}
--- a/crates/mulberry-entry/src/jobs/runner.rs
+++ b/crates/mulberry-entry/src/jobs/runner.rs
@@ -26,9 +26,15 @@
 use super::chunk_codec::decode_chunk;
 use super::chunk_codec::encode_chunk;
 use super::chunk_codec::inflate;
-use super::control::ChunkCounts;
 use crate::shared::Shared;
 
+/// Counts of a chunk's outcomes.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ChunkCounts {
+    pub completed: u32,
+    pub failed: u32,
+}
+
 /// First wait after a failed commit, in milliseconds.
 const FIRST_WAIT_MS: u64 = 100;
 
--- a/crates/mulberry-entry/src/jobs/shard.rs
+++ b/crates/mulberry-entry/src/jobs/shard.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use actix::Addr;
+use actix::Message;
+use actix::Recipient;
 
 use mulberry_platform::error::PlatformError;
 use mulberry_platform::object_api::Object;
@@ -17,11 +18,30 @@
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::object_key;
 
-use super::control::JobControl;
-use super::control::JobSeen;
-use super::control::KnowsJob;
 use crate::shared::Shared;
 
+/// Reports a job object of an owned shard.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(crate) struct JobSeen {
+    pub shard: u32,
+    pub job: Job,
+    /// Chunks committed already; read only for jobs that are new to this owner.
+    pub committed: Option<Vec<u32>>,
+}
+
+/// Asks whether a job is known to the owner.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct KnowsJob(pub JobId);
+
+/// Who is told of the jobs of one shard.
+pub(crate) struct JobReader {
+    pub shard: u32,
+    pub knows: Recipient<KnowsJob>,
+    pub seen: Recipient<JobSeen>,
+}
+
 /// Length of one watch, in milliseconds.
 const WATCH_MS: u64 = 30_000;
 
@@ -32,17 +52,12 @@
 const MAX_WAIT_MS: u64 = 2_000;
 
 /// Follows a shard's jobs until it is lost or the process stops.
-pub(super) async fn follow_shard(
-    shard: u32,
-    shared: Shared,
-    control: Addr<JobControl>,
-    lost: Stop,
-) {
+pub(super) async fn follow_shard(reader: JobReader, shared: Shared, lost: Stop) {
     let store = shared.store();
     let mut backoff = Backoff::new(FIRST_WAIT_MS, MAX_WAIT_MS);
     loop {
         let followed = tokio::select! {
-            followed = follow_once(shard, &store, &control) => followed,
+            followed = follow_once(&reader, &store) => followed,
             () = lost.wait() => return,
             () = shared.stopped.wait() => return,
         };
@@ -54,31 +69,22 @@
     }
 }
 
-async fn follow_once(
-    shard: u32,
-    store: &Store,
-    control: &Addr<JobControl>,
-) -> Result<(), PlatformError> {
-    let prefix = object_key::shard_jobs(shard);
+async fn follow_once(reader: &JobReader, store: &Store) -> Result<(), PlatformError> {
+    let prefix = object_key::shard_jobs(reader.shard);
     let (objects, mut revision) = store.list_all(CallClass::Lease, &prefix, true).await?;
     for object in &objects {
-        load_job(shard, object, store, control).await?;
+        load_job(reader, object, store).await?;
     }
     loop {
         let batch = store.watch(&prefix, revision, WATCH_MS).await?;
         for event in batch.events.iter().filter(|e| !e.deleted) {
-            load_job(shard, &event.object, store, control).await?;
+            load_job(reader, &event.object, store).await?;
         }
         revision = batch.revision;
     }
 }
 
-async fn load_job(
-    shard: u32,
-    object: &Object,
-    store: &Store,
-    control: &Addr<JobControl>,
-) -> Result<(), PlatformError> {
+async fn load_job(reader: &JobReader, object: &Object, store: &Store) -> Result<(), PlatformError> {
     let job: Job = match parse_json(object) {
         Ok(job) => job,
         Err(e) => {
@@ -87,13 +93,13 @@
             return Ok(());
         }
     };
-    let known = control.send(KnowsJob(job.id.clone())).await.unwrap_or(false);
+    let known = reader.knows.send(KnowsJob(job.id.clone())).await.unwrap_or(false);
     let committed = if known || job.state.is_final() {
         None
     } else {
         Some(read_committed(&job.id, store).await?)
     };
-    control.do_send(JobSeen { shard, job, committed });
+    reader.seen.do_send(JobSeen { shard: reader.shard, job, committed });
     Ok(())
 }
 
--- a/crates/mulberry-load/src/policy/mod.rs
+++ b/crates/mulberry-load/src/policy/mod.rs
@@ -3,8 +3,11 @@
 
 mod experiment;
 mod load;
+mod plan;
 mod plot;
 mod report;
+mod request;
+mod side;
 mod world;
 
 use std::path::PathBuf;
@@ -14,9 +17,9 @@
 pub(crate) use experiment::ours;
 pub(crate) use load::LoadShape;
 pub(crate) use load::draw_arrivals;
-pub(crate) use world::Outcome;
-pub(crate) use world::Variant;
-pub(crate) use world::WorldPlan;
+pub(crate) use plan::Outcome;
+pub(crate) use plan::Variant;
+pub(crate) use plan::WorldPlan;
 pub(crate) use world::run_world;
 
 /// What is asked for.
--- a/crates/mulberry-load/src/policy/plot.rs
+++ b/crates/mulberry-load/src/policy/plot.rs
@@ -12,7 +12,7 @@
 use plotters::prelude::WHITE;
 
 use super::experiment::Results;
-use super::world::Outcome;
+use super::plan::Outcome;
 use crate::error::LoadError;
 use crate::stats::quantile;
 
--- a/crates/mulberry-load/src/policy/world.rs
+++ b/crates/mulberry-load/src/policy/world.rs
@@ -10,10 +10,8 @@
 
 use mulberry_policy::admission::Admission;
 use mulberry_policy::admission::AdmissionAction;
-use mulberry_policy::admission::AdmissionSettings;
 use mulberry_policy::admission::Offer;
 use mulberry_policy::routing::Candidate;
-use mulberry_policy::routing::RoutingMode;
 use mulberry_policy::routing::choose_endpoint;
 use mulberry_protocol::digest::placement_hash;
 use mulberry_protocol::heartbeat::SideLoad;
@@ -21,76 +19,14 @@
 use mulberry_protocol::time::Millis;
 use mulberry_standin::engine::EngineModel;
 use mulberry_standin::engine::EngineRequest;
-use mulberry_standin::engine::EngineSettings;
 
 use super::load::Arrival;
-
-/// One policy.
-#[derive(Debug, Clone)]
-pub(crate) struct Variant {
-    pub name: &'static str,
-    pub admission: AdmissionSettings,
-    pub routing: RoutingMode,
-    /// Whether stopped batch items go on from where they were.
-    pub resume: bool,
-}
-
-/// The pool and its clock.
-#[derive(Debug, Clone)]
-pub(crate) struct WorldPlan {
-    /// Engines, each with the factor of its step time.
-    pub slowness: Vec<f64>,
-    pub engine: EngineSettings,
-    pub seconds: f64,
-    /// Whether batch items wait all the time.
-    pub batch: bool,
-    /// An engine range that is away from one second to another.
-    pub lost: Option<(std::ops::Range<usize>, f64, f64)>,
-    /// Milliseconds between the reports that the router sees.
-    pub report_ms: u64,
-    pub deadline_ms: u32,
-}
-
-impl Default for WorldPlan {
-    fn default() -> Self {
-        Self {
-            slowness: vec![1.0, 1.0, 1.0, 1.0, 1.6],
-            engine: EngineSettings::default(),
-            seconds: 120.0,
-            batch: true,
-            lost: None,
-            report_ms: 2_000,
-            deadline_ms: 8_000,
-        }
-    }
-}
-
-/// What came of a run.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Outcome {
-    /// Time and first-token time of each online answer, in seconds and milliseconds.
-    pub first_ms: Vec<(f64, f64)>,
-    pub gaps_ms: Vec<f64>,
-    pub online_tokens: u64,
-    pub refused: u64,
-    pub refusals: IndexMap<&'static str, u64>,
-    pub batch_items: u64,
-    pub batch_tokens: u64,
-    /// Tokens of prompts and answers computed more than once for the same item.
-    pub repeated_tokens: u64,
-    pub computed_tokens: u64,
-    /// Prompt tokens computed for online requests.
-    pub online_prompt_tokens: u64,
-    /// Batch items stopped for online requests.
-    pub stops: u64,
-    /// Longest time from a preemption to the item's stop, in milliseconds.
-    pub stop_ms_max: f64,
-    /// Longest stretch in which places for batch were free, in milliseconds.
-    pub unfilled_ms_max: f64,
-    /// Batch tokens and online answers by second.
-    pub batch_by_s: Vec<u64>,
-    pub online_by_s: Vec<u64>,
-}
+use super::plan::Outcome;
+use super::plan::Variant;
+use super::plan::WorldPlan;
+use super::request::Request;
+use super::side::Side;
+use super::side::stop_cancelled;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -103,63 +39,6 @@
     Return,
 }
 
-struct Request {
-    online: bool,
-    arrived_us: u64,
-    prompt: String,
-    prompt_tokens: u32,
-    answer_tokens: u32,
-    got: u32,
-    last_token_us: Option<u64>,
-    reported_us: u64,
-    reported_got: u32,
-    stopped_handle: Option<u64>,
-    runs: u32,
-    /// Whether the present run has brought a token.
-    begun: bool,
-    tried: Vec<usize>,
-    prefix: u32,
-    preempted_us: u64,
-}
-
-impl Request {
-    /// Makes a batch item that has not run yet.
-    fn new(arrived_us: u64, prompt: String, answer_tokens: u32) -> Self {
-        Self {
-            online: false,
-            arrived_us,
-            prompt_tokens: prompt.len().div_ceil(4) as u32,
-            prompt,
-            answer_tokens,
-            got: 0,
-            last_token_us: None,
-            reported_us: 0,
-            reported_got: 0,
-            stopped_handle: None,
-            runs: 0,
-            begun: false,
-            tried: Vec::new(),
-            prefix: 0,
-            preempted_us: 0,
-        }
-    }
-}
-
-struct Side {
-    admission: Admission,
-    model: EngineModel,
-    slowness: f64,
-    stepping: bool,
-    report: mulberry_standin::engine::StepReport,
-    cancels: Vec<u64>,
-    pulling: u32,
-    in_flight: u32,
-    load: SideLoad,
-    away: bool,
-    unfilled_since: Option<u64>,
-    live: IndexMap<u64, u64>,
-}
-
 struct World<'a> {
     plan: &'a WorldPlan,
     variant: &'a Variant,
@@ -587,23 +466,3 @@
         }
     }
 }
-
-/// Stops what was cancelled, between two steps. Returns the items that stopped.
-fn stop_cancelled(side: &mut Side, requests: &mut IndexMap<u64, Request>) -> Vec<u64> {
-    if side.stepping {
-        return Vec::new();
-    }
-    let mut stopped = Vec::new();
-    for id in std::mem::take(&mut side.cancels) {
-        let run = side.live.iter().find(|(_, of)| **of == id).map(|(run, _)| *run);
-        let Some(run) = run else { continue };
-        side.live.swap_remove(&run);
-        if side.model.cancel(run).is_some()
-            && let Some(request) = requests.get_mut(&id)
-        {
-            request.stopped_handle = Some(run);
-            stopped.push(id);
-        }
-    }
-    stopped
-}
--- a/crates/mulberry-platform/src/lib.rs
+++ b/crates/mulberry-platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform: its object API and its list of VMs.
 
+pub mod answers;
 pub mod error;
 pub mod http;
 pub mod object_api;
--- a/crates/mulberry-platform/src/object_http.rs
+++ b/crates/mulberry-platform/src/object_http.rs
@@ -10,8 +10,11 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use serde::de::DeserializeOwned;
 
+use crate::answers::bad_answer;
+use crate::answers::check_status;
+use crate::answers::no_answer;
+use crate::answers::parse_answer;
 use crate::error::PlatformError;
 use crate::http::new_client;
 use crate::object_api::ListPage;
@@ -69,11 +72,11 @@
         let req = self.authorize(self.client.get(self.object_url(key)));
         let key = key.to_owned();
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("read", &e))?;
+            let mut response = req.send().await.map_err(|e| no_answer("read", e))?;
             if response.status() == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
-            check_status("read", &key, response.status())?;
+            check_key_status("read", &key, response.status())?;
             let version = response
                 .headers()
                 .get(VERSION_HEADER)
@@ -81,7 +84,7 @@
                 .and_then(|v| v.parse().ok())
                 .ok_or_else(|| bad_answer("read", "no version"))?;
             let body = response.body().limit(MAX_VALUE_BYTES * 2).await;
-            let value = body.map_err(|e| no_answer("read", &e))?;
+            let value = body.map_err(|e| no_answer("read", e))?;
             Ok(Some(Object { key, version, value }))
         }
         .boxed_local()
@@ -104,10 +107,10 @@
             if bytes > MAX_VALUE_BYTES {
                 return Err(PlatformError::TooLarge { bytes });
             }
-            let mut response = req.send_body(value).await.map_err(|e| no_answer("write", &e))?;
-            check_status("write", &key, response.status())?;
-            let body = response.body().await.map_err(|e| no_answer("write", &e))?;
-            let document: VersionDocument = parse("write", &body)?;
+            let mut response = req.send_body(value).await.map_err(|e| no_answer("write", e))?;
+            check_key_status("write", &key, response.status())?;
+            let body = response.body().await.map_err(|e| no_answer("write", e))?;
+            let document: VersionDocument = parse_answer("write", &body)?;
             Ok(document.version)
         }
         .boxed_local()
@@ -118,10 +121,10 @@
         let req = req.insert_header(("if-match", version.to_string()));
         let key = key.to_owned();
         async move {
-            let response = req.send().await.map_err(|e| no_answer("delete", &e))?;
+            let response = req.send().await.map_err(|e| no_answer("delete", e))?;
             match response.status() {
                 StatusCode::NOT_FOUND => Ok(()),
-                status => check_status("delete", &key, status),
+                status => check_key_status("delete", &key, status),
             }
         }
         .boxed_local()
@@ -135,11 +138,11 @@
         );
         let req = self.authorize(self.client.get(url));
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("list", &e))?;
-            check_status("list", &query.prefix, response.status())?;
+            let mut response = req.send().await.map_err(|e| no_answer("list", e))?;
+            check_key_status("list", &query.prefix, response.status())?;
             let body = response.body().limit(MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|e| no_answer("list", &e))?;
-            let document: ObjectsDocument = parse("list", &body)?;
+            let body = body.map_err(|e| no_answer("list", e))?;
+            let document: ObjectsDocument = parse_answer("list", &body)?;
             let objects: Result<Vec<Object>, PlatformError> =
                 document.objects.into_iter().map(|o| from_document("list", o)).collect();
             Ok(ListPage { revision: document.revision, objects: objects?, more: document.more })
@@ -159,11 +162,11 @@
         let req = req.timeout(Duration::from_millis(wait_ms + WATCH_SLACK_MS));
         let prefix = prefix.to_owned();
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("watch", &e))?;
-            check_status("watch", &prefix, response.status())?;
+            let mut response = req.send().await.map_err(|e| no_answer("watch", e))?;
+            check_key_status("watch", &prefix, response.status())?;
             let body = response.body().limit(MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|e| no_answer("watch", &e))?;
-            let document: ObjectsDocument = parse("watch", &body)?;
+            let body = body.map_err(|e| no_answer("watch", e))?;
+            let document: ObjectsDocument = parse_answer("watch", &body)?;
             let mut events = Vec::with_capacity(document.objects.len());
             for object in document.objects {
                 let deleted = object.deleted;
@@ -175,29 +178,17 @@
     }
 }
 
-fn no_answer(call: &'static str, error: &dyn std::fmt::Display) -> PlatformError {
-    PlatformError::NoAnswer { call, detail: error.to_string() }
-}
-
-fn bad_answer(call: &'static str, detail: impl ToString) -> PlatformError {
-    PlatformError::BadAnswer { call, detail: detail.to_string() }
-}
-
-fn check_status(call: &'static str, key: &str, status: StatusCode) -> Result<(), PlatformError> {
+fn check_key_status(
+    call: &'static str,
+    key: &str,
+    status: StatusCode,
+) -> Result<(), PlatformError> {
     match status.as_u16() {
-        200..=299 => Ok(()),
-        401 | 403 => Err(PlatformError::Denied { call }),
-        410 => Err(PlatformError::Compacted),
         412 => Err(PlatformError::Conflict { key: key.to_owned() }),
-        429 => Err(PlatformError::RateRefused { call }),
-        code => Err(PlatformError::NoAnswer { call, detail: format!("status {code}") }),
+        code => check_status(call, code),
     }
 }
 
-fn parse<T: DeserializeOwned>(call: &'static str, body: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(body).map_err(|e| bad_answer(call, e))
-}
-
 fn from_document(call: &'static str, document: ObjectDocument) -> Result<Object, PlatformError> {
     let value = BASE64_STANDARD.decode(&document.value).map_err(|e| bad_answer(call, e))?;
     Ok(Object { key: document.key, version: document.version, value: Bytes::from(value) })
