Log where a request went and what decided it

Cause: the line of a plain request that was answered named no endpoint, no attempts and no input of the choice; an on-call engineer could not tell a full endpoint from a slow one.

Ruled out: a line of its own for each choice (twice the lines).

--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -158,20 +158,24 @@
 ) -> HttpResponse {
     let fleet = &door.fleet;
     match answer {
-        RelayAnswer::Whole(status, headers, body) => {
+        RelayAnswer::Whole(whole) => {
             log_event!(
                 info,
                 Event::RequestRelayed,
                 request = caller.request_id.to_str().unwrap_or(""),
                 route = &*caller.route.name,
                 version = caller.version,
-                status = status.as_u16(),
+                endpoint = %whole.choice.endpoint.name,
+                attempts = whole.attempts,
+                in_flight = whole.choice.in_flight,
+                view_age_ms = whole.choice.view_age_ms,
+                status = whole.status.as_u16(),
                 left_ms = caller.due.since(fleet.clock.now()),
                 outcome = "whole"
             );
-            let mut response = builder(fleet, status.as_u16());
-            copy_headers(&headers, &mut response);
-            response.body(body)
+            let mut response = builder(fleet, whole.status.as_u16());
+            copy_headers(&whole.headers, &mut response);
+            response.body(whole.body)
         }
         RelayAnswer::Stream(open) => {
             let mut response = builder(fleet, open.answer.status.as_u16());
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -77,10 +77,35 @@
     pub returned: bool,
 }
 
+/// An endpoint that was chosen for a request, and what decided it.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointEntry,
+    /// Requests and items of all processes that were in flight there, as far as known.
+    pub in_flight: u32,
+    /// Age of the oldest datagram by which that was known, in milliseconds.
+    pub view_age_ms: u64,
+}
+
+/// A whole answer of an endpoint.
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers without those that concern one connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Where the request ran.
+    pub choice: Choice,
+    /// Endpoints on which the request may have run.
+    pub attempts: u32,
+}
+
 /// The answer of an endpoint to a caller's request.
 pub enum RelayAnswer {
     /// A whole answer.
-    Whole(StatusCode, HeaderMap, Bytes),
+    Whole(WholeAnswer),
     /// A stream that has begun.
     Stream(OpenStream),
 }
@@ -92,7 +117,7 @@
     /// The head, with the rest of the body to come.
     pub answer: Answer,
     /// Where it runs.
-    pub endpoint: EndpointEntry,
+    pub choice: Choice,
     /// Counts the exchange.
     pub load: LoadGuard,
     /// Endpoints on which the request may have run so far.
@@ -122,11 +147,12 @@
         let mut attempts =
             Attempts { tried: Vec::new(), ran: 0, moves: 0, worst: RunState::NotRun };
         loop {
-            let endpoint = match self.choose(req, &attempts.tried) {
-                Ok(endpoint) => endpoint,
+            let choice = match self.choose(req, &attempts.tried) {
+                Ok(choice) => choice,
                 Err(refusal) => return Err(final_refusal(refusal, attempts.worst)),
             };
-            let refusal = match self.try_endpoint(req, &endpoint, attempts.ran + 1, None).await {
+            let endpoint = &choice.endpoint;
+            let refusal = match self.try_endpoint(req, &choice, attempts.ran + 1, None).await {
                 Ok(answer) => return Ok(answer),
                 Err(refusal) => refusal,
             };
@@ -144,7 +170,7 @@
                 answer_begun: false,
                 left_ms: req.due.since(self.fleet.clock.now()),
             });
-            self.log_attempt(req, &endpoint, &refusal, verdict);
+            self.log_attempt(req, endpoint, &refusal, verdict);
             let worst = attempts.worst.max(refusal.run);
             match verdict {
                 RetryVerdict::Retry(cause) => {
@@ -162,10 +188,11 @@
     pub async fn try_endpoint(
         &self,
         req: &CallerRequest,
-        endpoint: &EndpointEntry,
+        choice: &Choice,
         attempt: u32,
         resume_after: Option<u64>,
     ) -> Result<RelayAnswer, Refusal> {
+        let endpoint = &choice.endpoint;
         let now = self.fleet.clock.now();
         let left_ms = req.due.since(now);
         if left_ms == 0 {
@@ -178,7 +205,7 @@
             true => left_ms.min((req.route.target_ms * TRY_NEXT_TARGETS).max(1)),
             false => left_ms,
         };
-        let asking = self.ask(req, endpoint, request, load, attempt);
+        let asking = self.ask(req, choice, request, load, attempt);
         match tokio::time::timeout(Duration::from_millis(limit_ms), asking).await {
             Ok(Ok(answer)) => {
                 self.fleet.note_endpoint_success(&endpoint.name);
@@ -198,7 +225,7 @@
     async fn ask(
         &self,
         req: &CallerRequest,
-        endpoint: &EndpointEntry,
+        choice: &Choice,
         request: EndpointRequest,
         load: LoadGuard,
         attempt: u32,
@@ -207,15 +234,20 @@
         let sent_at = self.fleet.clock.now();
         let mut answer = exchange(&self.pool, names, request).await?;
         if req.route.kind == RouteKind::Stream && answer.status.is_success() {
-            let endpoint = endpoint.clone();
-            let attempts = attempt;
-            let open = OpenStream { sent_at, answer, endpoint, load, attempts };
+            let choice = choice.clone();
+            let open = OpenStream { sent_at, answer, choice, load, attempts: attempt };
             return Ok(RelayAnswer::Stream(open));
         }
         let body = answer.read_all(MAX_ANSWER_BYTES).await?;
         let span_ms = self.fleet.clock.now().since(sent_at);
-        self.fleet.queue_limits().note_run(&endpoint.service, span_ms, 0);
-        Ok(RelayAnswer::Whole(answer.status, answer.headers, body))
+        self.fleet.queue_limits().note_run(&choice.endpoint.service, span_ms, 0);
+        Ok(RelayAnswer::Whole(WholeAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body,
+            choice: choice.clone(),
+            attempts: attempt,
+        }))
     }
 
     fn refusal_of(&self, endpoint: &EndpointEntry, error: ExchangeError) -> Refusal {
@@ -277,11 +309,7 @@
     }
 
     /// Chooses an endpoint of the route that was not tried and has room, or says why there is none.
-    pub fn choose(
-        &self,
-        req: &CallerRequest,
-        tried: &[EndpointName],
-    ) -> Result<EndpointEntry, Refusal> {
+    pub fn choose(&self, req: &CallerRequest, tried: &[EndpointName]) -> Result<Choice, Refusal> {
         let endpoints = self.fleet.endpoints.load();
         let mut rng = rand::rng();
         let none = || {
@@ -322,7 +350,11 @@
             });
         }
         match choose_endpoint(RoutingMode::LeastLoaded, &candidates, None, &mut rng) {
-            Some(chosen) => Ok(usable[chosen].clone()),
+            Some(chosen) => Ok(Choice {
+                endpoint: usable[chosen].clone(),
+                in_flight: candidates[chosen].reported_online,
+                view_age_ms: occupancy.age_ms(now),
+            }),
             None => Err(Refusal::not_run(RefusalReason::Busy, "every endpoint is full")
                 .retry_after(retry_after_ms(rng.random()))),
         }
--- a/crates/mulberry-direct/src/stream_answer.rs
+++ b/crates/mulberry-direct/src/stream_answer.rs
@@ -127,12 +127,11 @@
     /// Goes on at another endpoint after the last event that was passed on.
     async fn resume(&mut self) -> bool {
         while self.req.route.resumable && self.open.attempts < self.req.route.attempts {
-            self.tried.push(self.open.endpoint.name.clone());
+            self.tried.push(self.open.choice.endpoint.name.clone());
             self.splitter = EventSplitter::default();
-            let Ok(endpoint) = self.relay.choose(&self.req, &self.tried) else { return false };
+            let Ok(choice) = self.relay.choose(&self.req, &self.tried) else { return false };
             let attempt = self.open.attempts + 1;
-            let tried =
-                self.relay.try_endpoint(&self.req, &endpoint, attempt, self.last_event).await;
+            let tried = self.relay.try_endpoint(&self.req, &choice, attempt, self.last_event).await;
             self.relay.fleet.metrics.count("direct.streams_resumed");
             match tried {
                 Ok(RelayAnswer::Stream(open)) => {
@@ -143,9 +142,9 @@
                 Err(refusal) => {
                     log_event!(info, Event::AttemptFailed,
                         request = self.req.request_id.to_str().unwrap_or(""),
-                        endpoint = %endpoint.name, detail = refusal.detail);
+                        endpoint = %choice.endpoint.name, detail = refusal.detail);
                     self.open.attempts = attempt;
-                    self.open.endpoint = endpoint;
+                    self.open.choice = choice;
                 }
             }
         }
@@ -158,7 +157,7 @@
         let fleet = &self.relay.fleet;
         let first_ms = first_at.since(self.open.sent_at);
         let rest_ms = fleet.clock.now().since(first_at);
-        fleet.queue_limits().note_run(&self.open.endpoint.service, first_ms, rest_ms);
+        fleet.queue_limits().note_run(&self.open.choice.endpoint.service, first_ms, rest_ms);
     }
 
     fn log(&self, outcome: &str) {
@@ -168,8 +167,10 @@
             request = self.req.request_id.to_str().unwrap_or(""),
             route = &*self.req.route.name,
             version = self.req.version,
-            endpoint = %self.open.endpoint.name,
+            endpoint = %self.open.choice.endpoint.name,
             attempts = self.open.attempts,
+            in_flight = self.open.choice.in_flight,
+            view_age_ms = self.open.choice.view_age_ms,
             parts = self.events,
             left_ms = self.req.due.since(self.relay.fleet.clock.now()),
             outcome
--- a/crates/mulberry-policy/src/occupancy.rs
+++ b/crates/mulberry-policy/src/occupancy.rs
@@ -33,6 +33,7 @@
 
 #[derive(Debug)]
 struct PeerLoads {
+    heard_at: Millis,
     /// When the loads no longer count.
     stale_at: Millis,
     incarnation: u64,
@@ -90,8 +91,9 @@
             .map(|l| (l.endpoint, Load { online: l.online.into(), batch: l.batch.into() }))
             .collect();
         let (incarnation, sequence) = (told.incarnation, told.sequence);
-        let stale_at = now + told.ttl_ms;
-        self.peers.insert(peer.clone(), PeerLoads { stale_at, incarnation, sequence, loads });
+        let (heard_at, stale_at) = (now, now + told.ttl_ms);
+        let loads = PeerLoads { heard_at, stale_at, incarnation, sequence, loads };
+        self.peers.insert(peer.clone(), loads);
     }
 
     /// Returns what this process has in flight at an endpoint.
@@ -110,6 +112,12 @@
         sum
     }
 
+    /// Returns the age of the oldest datagram that counts, in milliseconds.
+    pub fn age_ms(&self, now: Millis) -> u64 {
+        let counted = self.peers.values().filter(|p| now < p.stale_at);
+        counted.map(|p| now.since(p.heard_at)).max().unwrap_or(0)
+    }
+
     /// Lists the own loads for a datagram.
     pub fn to_tell(&self) -> Vec<EndpointLoad> {
         self.own
--- a/crates/mulberry-policy/tests/batch_share.rs
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -125,6 +125,7 @@
     occupancy.note_peer(&"p".into(), tells(7, 4, &late), NOW);
     let all = occupancy.all(1, NOW);
     assert_eq!((all.online, all.batch), (4, 2), "an older datagram is ignored");
+    assert_eq!([0, 700, LOAD_TTL_MS].map(|ms| occupancy.age_ms(NOW + ms)), [0, 700, 0]);
     assert_eq!(occupancy.all(1, NOW + LOAD_TTL_MS).online, 1);
     occupancy.note_peer(&"p".into(), tells(8, 1, &[]), NOW);
     assert_eq!(occupancy.all(1, NOW).total(), 1, "a restarted peer counts anew");
