End the circles between files of mulberry-entry

Change: the actors' addresses have a file of their own (controls); reading a client's job and judging its identifier stand in http/job_object; the digest of a claimed request stands with the claims.

--- a/crates/mulberry-entry/src/bundles.rs
+++ b/crates/mulberry-entry/src/bundles.rs
@@ -31,7 +31,7 @@
 
 use crate::control::JudgeBundle;
 use crate::control::PutBundle;
-use crate::shared::Controls;
+use crate::controls::Controls;
 use crate::shared::Shared;
 use crate::snapshot::LoadedBundle;
 
--- a/crates/mulberry-entry/src/dispatch.rs
+++ b/crates/mulberry-entry/src/dispatch.rs
@@ -33,9 +33,9 @@
 use crate::answer::InFlight;
 use crate::control::LinkFailureSeen;
 use crate::control::SuspectsSeen;
+use crate::controls::Controls;
 use crate::link_pool::return_link;
 use crate::link_pool::take_link;
-use crate::shared::Controls;
 use crate::shared::Shared;
 use crate::snapshot::EndpointRoute;
 
--- a/crates/mulberry-entry/src/heartbeat.rs
+++ b/crates/mulberry-entry/src/heartbeat.rs
@@ -18,8 +18,8 @@
 use crate::control::SideBeatSeen;
 use crate::control::VmListSeen;
 use crate::control::list_entries;
+use crate::controls::Controls;
 use crate::jobs::EntriesSeen;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 /// Receives until the process stops. Datagrams that no side signed are counted and dropped.
--- a/crates/mulberry-entry/src/http/batches.rs
+++ b/crates/mulberry-entry/src/http/batches.rs
@@ -9,7 +9,6 @@
 use serde_json::Value;
 use serde_json::json;
 
-use mulberry_platform::store::Store;
 use mulberry_platform::store::WriteEnd;
 use mulberry_platform::store::parse_json;
 use mulberry_platform::store::to_json;
@@ -32,8 +31,8 @@
 use super::error::ApiError;
 use super::files::ERRORS_PREFIX;
 use super::files::OUTPUT_PREFIX;
-use super::files::is_plain_id;
 use super::files::read_file;
+use super::job_object::read_job;
 use super::relay::note_refusal;
 use super::services::idempotency_key;
 use crate::jobs::count_committed;
@@ -207,23 +206,6 @@
     (1..=MAX_WINDOW_HOURS).contains(&hours).then_some(hours * HOUR_S)
 }
 
-/// Reads one of the client's jobs.
-pub(super) async fn read_job(
-    shared: &Shared,
-    store: &Store,
-    client: &ClientName,
-    id: &JobId,
-) -> Result<(Job, u64), ApiError> {
-    let not_found = || Refusal::not_run(RefusalReason::NotFound, "there is no such batch");
-    if !is_plain_id(id.as_str()) {
-        return Err(not_found().into());
-    }
-    let key = object_key::job(id, shared.settings.job_shards);
-    let found = store.read_json::<Job>(CallClass::Read, &key).await?;
-    let own = found.filter(|(job, _)| job.client == *client);
-    Ok(own.ok_or_else(not_found)?)
-}
-
 /// Shows one job.
 pub(super) async fn show(
     shared: web::Data<Shared>,
--- a/crates/mulberry-entry/src/http/claims.rs
+++ b/crates/mulberry-entry/src/http/claims.rs
@@ -24,10 +24,9 @@
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::refusal::RunState;
 
-use super::services::request_digest;
+use crate::controls::Controls;
 use crate::dispatch::Outcome;
 use crate::dispatch::run_online;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 /// Most tries to take over a claim that was released.
@@ -164,3 +163,13 @@
     let claim = parse_json(object)?;
     Ok(ClaimReply::Exists { claim, version: object.version })
 }
+
+/// Returns the digest by which a claimed request is told from another under the same key.
+fn request_digest(dispatch: &Dispatch) -> Digest {
+    Digest::of_parts(&[
+        dispatch.service.as_str().as_bytes(),
+        dispatch.method.as_bytes(),
+        dispatch.path.as_bytes(),
+        &dispatch.body,
+    ])
+}
--- a/crates/mulberry-entry/src/http/completions.rs
+++ b/crates/mulberry-entry/src/http/completions.rs
@@ -18,8 +18,8 @@
 use super::error::ApiError;
 use super::relay::into_response;
 use super::relay::note_refusal;
+use crate::controls::Controls;
 use crate::dispatch::run_online;
-use crate::shared::Controls;
 use crate::shared::Shared;
 use crate::snapshot::LoadedBundle;
 
--- a/crates/mulberry-entry/src/http/files.rs
+++ b/crates/mulberry-entry/src/http/files.rs
@@ -30,8 +30,9 @@
 
 use super::auth::authenticate;
 use super::auth::bundle_in_force;
-use super::batches::read_job;
 use super::error::ApiError;
+use super::job_object::is_plain_id;
+use super::job_object::read_job;
 use super::relay::note_refusal;
 use crate::job_lines::LinePacker;
 use crate::job_lines::Segment;
@@ -270,12 +271,6 @@
     Ok(found.ok_or_else(not_found)?.0)
 }
 
-/// Tells whether an identifier holds nothing that would change the key it becomes part of.
-pub(super) fn is_plain_id(id: &str) -> bool {
-    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_');
-    !id.is_empty() && id.len() <= 128 && id.bytes().all(plain)
-}
-
 /// Lists the client's files.
 pub(super) async fn list(
     shared: web::Data<Shared>,
--- a/crates/mulberry-entry/src/http/mod.rs
+++ b/crates/mulberry-entry/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod completions;
 mod error;
 mod files;
+mod job_object;
 mod models;
 mod relay;
 mod server;
--- a/crates/mulberry-entry/src/http/relay.rs
+++ b/crates/mulberry-entry/src/http/relay.rs
@@ -18,9 +18,9 @@
 
 use super::error::error_body;
 use crate::answer::Answer;
+use crate::controls::Controls;
 use crate::dispatch::Outcome;
 use crate::dispatch::learn_suspects;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 /// Time for what was written before a cut to be sent.
--- a/crates/mulberry-entry/src/http/server.rs
+++ b/crates/mulberry-entry/src/http/server.rs
@@ -19,7 +19,7 @@
 use super::models;
 use super::services;
 use super::status;
-use crate::shared::Controls;
+use crate::controls::Controls;
 use crate::shared::Shared;
 
 /// Time for which unused connections are kept.
--- a/crates/mulberry-entry/src/http/services.rs
+++ b/crates/mulberry-entry/src/http/services.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 
 use mulberry_protocol::bundle::ServiceKind;
-use mulberry_protocol::digest::Digest;
 use mulberry_protocol::link::Dispatch;
 use mulberry_protocol::name::ClientName;
 use mulberry_protocol::name::ServiceName;
@@ -22,9 +21,9 @@
 use super::error::ApiError;
 use super::relay::into_response;
 use super::relay::note_refusal;
+use crate::controls::Controls;
 use crate::dispatch::Outcome;
 use crate::dispatch::run_online;
-use crate::shared::Controls;
 use crate::shared::Shared;
 use crate::snapshot::LoadedBundle;
 
@@ -112,13 +111,3 @@
         body,
     })
 }
-
-/// Returns the digest by which a claimed request is told from another under the same key.
-pub(super) fn request_digest(dispatch: &Dispatch) -> Digest {
-    Digest::of_parts(&[
-        dispatch.service.as_str().as_bytes(),
-        dispatch.method.as_bytes(),
-        dispatch.path.as_bytes(),
-        &dispatch.body,
-    ])
-}
--- a/crates/mulberry-entry/src/http/status.rs
+++ b/crates/mulberry-entry/src/http/status.rs
@@ -5,8 +5,8 @@
 use serde_json::json;
 
 use crate::control::AskSides;
+use crate::controls::Controls;
 use crate::jobs::AskJobs;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 /// Tells the balancer whether to send callers here.
--- a/crates/mulberry-entry/src/jobs/control/mod.rs
+++ b/crates/mulberry-entry/src/jobs/control/mod.rs
@@ -29,12 +29,12 @@
 use mulberry_protocol::name::ServiceName;
 
 use crate::control::Hurry;
+use crate::controls::Controls;
 use crate::jobs::runner::ChunkCounts;
 use crate::jobs::runner::ChunkOpened;
 use crate::jobs::runner::commit_chunk;
 use crate::jobs::runner::end_job;
 use crate::jobs::runner::open_chunk;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 pub(crate) use items::ItemDone;
--- a/crates/mulberry-entry/src/jobs/owner_link.rs
+++ b/crates/mulberry-entry/src/jobs/owner_link.rs
@@ -23,7 +23,7 @@
 use super::control::LinkId;
 use super::control::LinkOpened;
 use super::control::TakeItems;
-use crate::shared::Controls;
+use crate::controls::Controls;
 use crate::shared::Shared;
 use crate::snapshot::LoadedBundle;
 
--- a/crates/mulberry-entry/src/lib.rs
+++ b/crates/mulberry-entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod bundles;
 pub mod command;
 mod control;
+mod controls;
 mod dispatch;
 mod error;
 mod guards;
--- a/crates/mulberry-entry/src/process.rs
+++ b/crates/mulberry-entry/src/process.rs
@@ -23,6 +23,7 @@
 use crate::bundles::follow_bundle;
 use crate::control::EntryControl;
 use crate::control::Hurry;
+use crate::controls::Controls;
 use crate::error::EntryError;
 use crate::heartbeat::follow_vm_list;
 use crate::heartbeat::receive_beats;
@@ -32,7 +33,6 @@
 use crate::jobs::LeaveJobs;
 use crate::jobs::accept_owner_links;
 use crate::settings::EntrySettings;
-use crate::shared::Controls;
 use crate::shared::Shared;
 
 /// A running entry.
--- a/crates/mulberry-entry/src/shared.rs
+++ b/crates/mulberry-entry/src/shared.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use actix::Addr;
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -22,9 +21,7 @@
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::time::Millis;
 
-use crate::control::EntryControl;
 use crate::guards::Guards;
-use crate::jobs::JobControl;
 use crate::settings::EntrySettings;
 use crate::snapshot::Snapshot;
 
@@ -58,13 +55,6 @@
     process: u64,
 }
 
-/// Addresses of the control actors.
-#[derive(Clone)]
-pub(crate) struct Controls {
-    pub entry: Addr<EntryControl>,
-    pub jobs: Addr<JobControl>,
-}
-
 impl Shared {
     pub fn new(
         settings: EntrySettings,
