--- a/crates/mulberry-direct/src/owner/copy.rs
+++ b/crates/mulberry-direct/src/owner/copy.rs
@@ -33,10 +33,10 @@
         tokio::time::sleep(Duration::from_millis(COPY_MS)).await;
         let generation = owner.state.borrow().generation;
         let standby = find_standby(&owner.fleet).filter(|_| owner.is_current(generation));
-        let now_at = standby.map(|address| (address, generation));
-        if now_at != receiver {
+        let next = standby.map(|address| (address, generation));
+        if next != receiver {
             sender.reset();
-            receiver = now_at;
+            receiver = next;
             log_event!(info, Event::CopiesBegun, standby = ?standby);
         }
         let Some(address) = standby else { continue };
--- a/crates/mulberry-policy/src/progress_copies.rs
+++ b/crates/mulberry-policy/src/progress_copies.rs
@@ -128,7 +128,8 @@
         if owner_term <= self.term {
             return Vec::new();
         }
-        // The sender is no longer the owner; its later batches are refused.
+        // The sender is no longer the owner; whatever it still sends is refused.
+        self.term = owner_term;
         self.next = u64::MAX;
         let jobs = std::mem::take(&mut self.jobs);
         jobs.into_iter().map(|(job, items)| (job, items.into_values().collect())).collect()
--- a/crates/mulberry-policy/tests/progress_copies.rs
+++ b/crates/mulberry-policy/tests/progress_copies.rs
@@ -162,6 +162,19 @@
     assert_eq!(texts(&mut copies, 5).get("a").map(String::as_str), Some("9"));
 }
 
+#[test]
+fn an_owner_that_has_not_heard_of_the_next_one_is_refused() {
+    let mut copies = ProgressCopies::default();
+    let mut old = CopySender::default();
+    assert!(copies.take(next_batch(&mut old, 3, &[Item("a", "1", 0, false)]).unwrap()));
+    assert_eq!(texts(&mut copies, 4).len(), 1);
+    for _ in 0..2 {
+        assert!(!copies.take(next_batch(&mut old, 3, &[Item("a", "1\n2", 0, false)]).unwrap()));
+        old.reset();
+    }
+    assert!(texts(&mut copies, 5).is_empty(), "nothing is passed on twice");
+}
+
 #[test]
 fn unchanged_output_is_not_sent_again() {
     let mut sender = CopySender::default();
