--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -132,7 +132,6 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Instant,
     until: Instant,
 }
 
@@ -154,13 +153,13 @@
     /// Keeps a connection whose exchange is complete. `keep` bounds the time if the peer states one.
     pub fn put(&self, address: SocketAddr, mut connection: Connection, keep: Option<Duration>) {
         connection.reused = true;
-        let since = Instant::now();
+        let now = Instant::now();
         let span = keep.map_or(IDLE_TIME, |k| k.min(IDLE_TIME));
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(address).or_default();
-        list.retain(|i| i.until > since && !i.connection.sender.is_closed());
+        list.retain(|i| i.until > now && !i.connection.sender.is_closed());
         if list.len() < MAX_IDLE {
-            list.push(Idle { connection, since, until: since + span });
+            list.push(Idle { connection, until: now + span });
         }
     }
 
@@ -174,8 +173,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(last) = list.pop() {
-            let usable = last.until > now && last.since <= now && last.connection.sender.is_ready();
-            if usable {
+            if last.until > now && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
         }
--- a/crates/mulberry-direct/src/door.rs
+++ b/crates/mulberry-direct/src/door.rs
@@ -162,7 +162,7 @@
             log_event!(
                 info,
                 Event::RequestRelayed,
-                request = caller.request_id.to_str().unwrap_or(""),
+                request = caller.id_text(),
                 route = &*caller.route.name,
                 version = caller.version,
                 endpoint = %whole.choice.endpoint.name,
--- a/crates/mulberry-direct/src/fleet.rs
+++ b/crates/mulberry-direct/src/fleet.rs
@@ -66,8 +66,6 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// Known endpoints.
     pub endpoints: ArcSwap<Endpoints>,
-    /// Known peers.
-    pub peers: ArcSwap<IndexMap<EntryName, Peer>>,
     /// Proofs between peers, none before they were read.
     pub secrets: ArcSwapOption<SecretRing>,
     /// Requests that are being answered.
@@ -78,6 +76,7 @@
     is_following: AtomicBool,
     /// Rises when waiting watches are to be made anew.
     pub renewals: watch::Sender<u64>,
+    peers: Mutex<IndexMap<EntryName, Peer>>,
     store_news: Mutex<StoreNews>,
     occupancy: Mutex<Occupancy>,
     ejector: Mutex<Ejector>,
@@ -100,12 +99,12 @@
             stop: Stop::default(),
             configuration: ArcSwapOption::empty(),
             endpoints: ArcSwap::from_pointee(Endpoints::default()),
-            peers: ArcSwap::from_pointee(IndexMap::new()),
             secrets: ArcSwapOption::empty(),
             in_flight: AtomicU64::new(0),
             closing: AtomicBool::new(false),
             is_following: AtomicBool::new(true),
             renewals: watch::Sender::new(0),
+            peers: Mutex::default(),
             store_news: Mutex::default(),
             occupancy: Mutex::default(),
             ejector: Mutex::default(),
@@ -113,6 +112,11 @@
         })
     }
 
+    /// Locks the known peers.
+    pub fn peers(&self) -> MutexGuard<'_, IndexMap<EntryName, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the count of what is in flight.
     pub fn occupancy(&self) -> MutexGuard<'_, Occupancy> {
         self.occupancy.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/mulberry-direct/src/follow.rs
+++ b/crates/mulberry-direct/src/follow.rs
@@ -170,7 +170,7 @@
             return;
         }
     };
-    let before = fleet.configuration.load().as_ref().map_or(0, |c| c.version);
+    let before = fleet.version();
     if read.version <= before {
         return;
     }
--- a/crates/mulberry-direct/src/owner/copy.rs
+++ b/crates/mulberry-direct/src/owner/copy.rs
@@ -31,8 +31,11 @@
     let mut receiver = None;
     loop {
         tokio::time::sleep(Duration::from_millis(COPY_MS)).await;
-        let generation = owner.state.borrow().generation;
-        let standby = find_standby(&owner.fleet).filter(|_| owner.is_current(generation));
+        let (serving, generation) = {
+            let state = owner.state.borrow();
+            (state.serving, state.generation)
+        };
+        let standby = find_standby(&owner.fleet).filter(|_| serving);
         let next = standby.map(|address| (address, generation));
         if next != receiver {
             sender.reset();
@@ -53,8 +56,8 @@
 
 fn next_batch(owner: &Owner, sender: &mut CopySender) -> Option<CopyBatch> {
     let state = owner.state.borrow();
-    let open = state.jobs.iter().filter(|(_, log)| !log.is_settled());
-    let outputs = open.flat_map(|(job, log)| log.outputs().map(move |output| (job, output)));
+    let outputs = state.open_jobs();
+    let outputs = outputs.flat_map(|(job, log)| log.outputs().map(move |output| (job, output)));
     sender.next_batch(state.lease.term(), outputs)
 }
 
@@ -79,10 +82,6 @@
 pub(crate) fn use_copies(state: &mut OwnerState, now: Millis) {
     let term = state.lease.term();
     for (job, items) in state.copies.hand_out(term) {
-        let Some(log) = state.jobs.get_mut(&job) else { continue };
-        log_event!(info, Event::ProgressTaken, job = %job, items = items.len());
-        for item in items {
-            log.import_progress(item, now);
-        }
+        state.import_progress(&job, items, now);
     }
 }
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -34,6 +34,8 @@
 use mulberry_policy::owner_lease::OwnerLease;
 use mulberry_policy::progress_copies::ProgressCopies;
 use mulberry_protocol::batch_job::ItemProgress;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::time::Millis;
 
@@ -86,6 +88,25 @@
     pub(crate) copies: ProgressCopies,
 }
 
+impl OwnerState {
+    /// Lists the jobs that have something left to do.
+    pub(crate) fn open_jobs(&self) -> impl Iterator<Item = (&JobId, &JobLog)> {
+        self.jobs.iter().filter(|(_, log)| !log.is_settled())
+    }
+
+    /// Takes what an earlier owner had of a job's items, and stops the runs that were behind it.
+    pub(crate) fn import_progress(&mut self, job: &JobId, items: Vec<ItemProgress>, now: Millis) {
+        let Some(log) = self.jobs.get_mut(job) else { return };
+        log_event!(info, Event::ProgressTaken, job = %job, items = items.len());
+        let behind = items.into_iter().filter_map(|item| log.import_progress(item, now));
+        for index in behind {
+            if let Some(run) = self.runs.swap_remove(&(job.clone(), index)) {
+                run.abort.abort();
+            }
+        }
+    }
+}
+
 /// How long items take, learned from those that completed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pace {
@@ -205,8 +226,7 @@
             run.abort.abort();
         }
         state.runs.clear();
-        let open = state.jobs.iter().filter(|(_, log)| !log.is_settled());
-        let progress = open.map(|(job, log)| {
+        let progress = state.open_jobs().map(|(job, log)| {
             (job.clone(), log.outputs().map(|o| o.to_progress()).collect::<Vec<_>>())
         });
         state.left_over = progress.filter(|(_, items)| !items.is_empty()).collect();
--- a/crates/mulberry-direct/src/owner/pass_on.rs
+++ b/crates/mulberry-direct/src/owner/pass_on.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use mulberry_protocol::batch_job::ItemProgress;
-use mulberry_protocol::event::Event;
-use mulberry_protocol::log_event;
 use mulberry_protocol::name::JobId;
 
 use crate::job_calls::JobCall;
@@ -54,16 +52,8 @@
     if !state.serving {
         return JobReply::Refused(not_owner());
     }
-    let told = items.len();
-    let Some(log) = state.jobs.get_mut(job) else { return JobReply::Taken };
-    let stops: Vec<usize> = items.into_iter().filter_map(|i| log.import_progress(i, now)).collect();
-    for index in stops {
-        if let Some(run) = state.runs.swap_remove(&(job.clone(), index)) {
-            run.abort.abort();
-        }
-    }
+    state.import_progress(job, items, now);
     drop(state);
-    log_event!(info, Event::ProgressTaken, job = %job, items = told);
     owner.work.notify_one();
     JobReply::Taken
 }
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -98,7 +98,7 @@
     let state = owner.state.borrow();
     let mut running = Vec::new();
     let mut waiting = Vec::new();
-    for (id, log) in state.jobs.iter().filter(|(_, log)| !log.is_settled()) {
+    for (id, log) in state.open_jobs() {
         let route = route_of(configuration, &log.route);
         let leads_here = route.is_some_and(|r| r.targets.iter().any(|t| t.service == *service));
         if !leads_here {
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -125,15 +125,13 @@
     if member.name == fleet.settings.name {
         return;
     }
-    let known = fleet.peers.load();
-    if known.get(&member.name).is_some_and(|p| p.member == member) {
+    let mut peers = fleet.peers();
+    if peers.get(&member.name).is_some_and(|p| p.member == member) {
         return;
     }
     log_event!(info, Event::PeerFound, peer = %member.name, address = %member.address);
-    let mut peers = IndexMap::clone(&known);
     let peer = Peer { member: member.clone(), heard_at: None, owner: None };
     peers.insert(member.name, peer);
-    fleet.peers.store(Arc::new(peers));
 }
 
 /// Receives datagrams until the process stops; `tell` gets each claim to own the batch jobs.
@@ -175,12 +173,10 @@
         loads: &beat.loads,
     };
     fleet.occupancy().note_peer(name, told, now);
-    let mut peers = IndexMap::clone(&fleet.peers.load());
-    if let Some(peer) = peers.get_mut(name) {
+    if let Some(peer) = fleet.peers().get_mut(name) {
         peer.heard_at = Some(now);
         peer.owner = beat.owner.clone();
     }
-    fleet.peers.store(Arc::new(peers));
 }
 
 /// Sends datagrams until the process stops; `claim` tells what to say of the batch jobs.
@@ -227,7 +223,7 @@
 /// Returns the peers that get this datagram, by the time until their next one.
 fn due_receivers(fleet: &Fleet, beat: &PeerBeat) -> IndexMap<u64, Vec<SocketAddr>> {
     let now = fleet.clock.now();
-    let peers = fleet.peers.load();
+    let peers = fleet.peers();
     let sender = BeatSender {
         role: beat.member.role,
         owns_jobs: beat.owner.is_some(),
@@ -258,7 +254,7 @@
 /// Returns the process that stands by after this one, in the order of their names.
 pub fn find_standby(fleet: &Fleet) -> Option<SocketAddr> {
     let now = fleet.clock.now();
-    let peers = fleet.peers.load();
+    let peers = fleet.peers();
     let own = &fleet.settings.name;
     let heard = |p: &&Peer| p.heard_at.is_some_and(|at| now.since(at) < STANDBY_TTL_MS);
     let standbys = peers.values().filter(heard).filter(|p| p.member.role == PeerRole::Owner);
@@ -269,7 +265,7 @@
 /// Returns the peer that owns the batch jobs and serves them.
 pub fn find_owner(fleet: &Fleet) -> Option<(EntryName, SocketAddr)> {
     let now = fleet.clock.now();
-    let peers = fleet.peers.load();
+    let peers = fleet.peers();
     let fresh = |p: &&Peer| p.heard_at.is_some_and(|at| now.since(at) < CLAIM_TTL_MS);
     let owner = peers
         .values()
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -77,6 +77,13 @@
     pub returned: bool,
 }
 
+impl CallerRequest {
+    /// Returns the identifier as text for the log, empty if it is none.
+    pub fn id_text(&self) -> &str {
+        self.request_id.to_str().unwrap_or("")
+    }
+}
+
 /// An endpoint that was chosen for a request, and what decided it.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -370,7 +377,7 @@
         log_event!(
             info,
             Event::AttemptFailed,
-            request = req.request_id.to_str().unwrap_or(""),
+            request = req.id_text(),
             route = &*req.route.name,
             version = req.version,
             endpoint = %endpoint.name,
--- a/crates/mulberry-direct/src/stream_answer.rs
+++ b/crates/mulberry-direct/src/stream_answer.rs
@@ -141,7 +141,7 @@
                 Ok(RelayAnswer::Whole(..)) => return false,
                 Err(refusal) => {
                     log_event!(info, Event::AttemptFailed,
-                        request = self.req.request_id.to_str().unwrap_or(""),
+                        request = self.req.id_text(),
                         endpoint = %choice.endpoint.name, detail = refusal.detail);
                     self.open.attempts = attempt;
                     self.open.choice = choice;
@@ -164,7 +164,7 @@
         log_event!(
             info,
             Event::RequestRelayed,
-            request = self.req.request_id.to_str().unwrap_or(""),
+            request = self.req.id_text(),
             route = &*self.req.route.name,
             version = self.req.version,
             endpoint = %self.open.choice.endpoint.name,
