Logs say which crashes don't count and why, and which runs end at a silent endpoint

The logs could not distinguish the hypotheses: a crash that does not count left only a counter without a reason, and a run whose endpoint fell silent left nothing where its caller gave up first.

603 and the counter's reasons say why a crash does not count (endpoint at fault, same moment, unproven). 604 names runs that were abandoned while their endpoint was silent: a watch belongs to each run from its send to its end and sees it dropped; the connection pool knows when an address last sent something, so that a slow endpoint that still serves others is not called silent. No decision changes.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -53,6 +53,12 @@
 /// Time for which an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Number of addresses from which old times of their last bytes are dropped.
+const MAX_HEARD_ADDRESSES: usize = 4_096;
+
+/// Age at which the time of an address's last bytes may be dropped.
+const HEARD_TTL: Duration = Duration::from_secs(60);
+
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 
@@ -210,6 +216,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// When each address last sent something on any connection.
+    heard: Rc<RefCell<IndexMap<SocketAddr, Instant>>>,
 }
 
 impl ConnectionPool {
@@ -240,6 +248,22 @@
         }
     }
 
+    /// Records that an address has just sent something.
+    pub fn record_heard(&self, address: SocketAddr) {
+        let now = Instant::now();
+        let mut heard = self.heard.borrow_mut();
+        if heard.len() >= MAX_HEARD_ADDRESSES && !heard.contains_key(&address) {
+            heard.retain(|_, at| now.duration_since(*at) < HEARD_TTL);
+        }
+        heard.insert(address, now);
+    }
+
+    /// Returns the time since the address last sent something, at most that since `sent`.
+    pub fn silence_since(&self, address: SocketAddr, sent: Instant) -> Duration {
+        let heard = self.heard.borrow().get(&address).copied();
+        heard.map_or(sent, |at| at.max(sent)).elapsed()
+    }
+
     /// Closes every idle connection to an address.
     pub fn clear(&self, address: SocketAddr) {
         self.idle.borrow_mut().swap_remove(&address);
--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -61,9 +61,16 @@
         let evidence = probe_after_break(endpoint.address).await;
         let now = self.clock.now();
         let run = endpoint_run(fingerprint, endpoint, sent_at);
-        let Some(verdict) = self.crash_suspects().record_crash(run, evidence, now) else {
-            self.metrics.count("direct.crashes_not_counted");
-            return;
+        let recorded = self.crash_suspects().record_crash(run, evidence, now);
+        let verdict = match recorded {
+            Ok(verdict) => verdict,
+            Err(reason) => {
+                self.metrics.count_reason("direct.crashes_not_counted", reason.as_str());
+                log_event!(info, Event::CrashNotCounted,
+                    fingerprint = fingerprint_text(fingerprint), endpoint = %endpoint.name,
+                    after = ?evidence, reason = reason.as_str());
+                return;
+            }
         };
         self.metrics.count("direct.crashes_counted");
         log_event!(info, Event::CrashCounted, fingerprint = fingerprint_text(fingerprint),
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -92,6 +92,7 @@
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
+                    self.pool.record_heard(self.address);
                     if let Ok(chunk) = frame.into_data() {
                         return Ok(Some(chunk));
                     }
@@ -164,6 +165,7 @@
             }
         }
     };
+    pool.record_heard(address);
     let (head, body) = response.into_parts();
     let status = head.status;
     let mut headers = head.headers;
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod owner;
 pub mod peers;
 pub mod relay;
+pub mod run_watch;
 pub mod settings;
 pub mod shared;
 pub mod sse;
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -43,6 +43,7 @@
 use crate::exchange::ExchangeError;
 use crate::exchange::exchange;
 use crate::fingerprint::fingerprint_text;
+use crate::run_watch::RunWatch;
 use crate::shared::LoadGuard;
 use crate::shared::SharedState;
 
@@ -123,8 +124,8 @@
 
 /// A streaming response whose body is still to be read.
 pub struct OpenStream {
-    /// When the request was sent.
-    pub sent_at: Millis,
+    /// Watches the run.
+    pub watch: RunWatch,
     /// The response head and the reader of its body.
     pub response: EndpointResponse,
     /// The endpoint that produces the stream.
@@ -242,24 +243,21 @@
             return Err(Refusal::not_run(RefusalReason::Deadline, detail).into());
         }
         let load = self.shared.begin_load(endpoint.load_key(), LoadClass::Online);
+        let (shared, pool) = (self.shared.clone(), self.pool.clone());
+        let watch = RunWatch::start(shared, pool, req.fingerprint, endpoint.clone());
         let request = self.endpoint_request(req, endpoint, left_ms, resume_after)?;
         let may_fail_over = req.route.kind == RouteKind::Idempotent && attempt < req.route.attempts;
         let timeout_ms = match may_fail_over {
             true => left_ms.min((req.route.target_ms * FAILOVER_TIMEOUT_TARGETS).max(1)),
             false => left_ms,
         };
-        let sending = self.send(req, choice, request, load, attempt);
+        let sending = self.send(req, choice, request, load, attempt, watch);
         match tokio::time::timeout(Duration::from_millis(timeout_ms), sending).await {
             Ok(Ok(response)) => {
                 self.shared.record_endpoint_success(&endpoint.name);
                 Ok(response)
             }
-            Ok(Err(e)) => {
-                if e.is_crash() {
-                    self.shared.record_crash(req.fingerprint, endpoint, now).await;
-                }
-                Err(self.to_failure(endpoint, e))
-            }
+            Ok(Err(e)) => Err(self.to_failure(endpoint, e)),
             Err(_) => {
                 self.record_failure(endpoint, "slow");
                 let detail = format!("no response from the endpoint within {timeout_ms} ms");
@@ -275,18 +273,20 @@
         request: EndpointRequest,
         load: LoadGuard,
         attempt: u32,
+        mut watch: RunWatch,
     ) -> Result<RelayResponse, ExchangeError> {
         let names = self.shared.dialect.headers();
-        let sent_at = self.shared.clock.now();
-        let mut response = exchange(&self.pool, names, request).await?;
+        let exchanged = exchange(&self.pool, names, request).await;
+        let mut response = watch_failure(&mut watch, exchanged).await?;
         if req.route.kind == RouteKind::Stream && response.status.is_success() {
             let choice = choice.clone();
-            let open = OpenStream { sent_at, response, choice, load, attempts: attempt };
+            let open = OpenStream { watch, response, choice, load, attempts: attempt };
             return Ok(RelayResponse::Stream(open));
         }
-        let body = response.read_all(MAX_RESPONSE_BYTES).await?;
-        self.shared.record_run_completed(req.fingerprint, &choice.endpoint, sent_at);
-        let duration_ms = self.shared.clock.now().since(sent_at);
+        let read = response.read_all(MAX_RESPONSE_BYTES).await;
+        let body = watch_failure(&mut watch, read).await?;
+        watch.complete();
+        let duration_ms = self.shared.clock.now().since(watch.sent_at());
         self.shared.queue_limits().record_run(&choice.endpoint.service, duration_ms, 0);
         Ok(RelayResponse::Full(FullResponse {
             status: response.status,
@@ -443,3 +443,17 @@
         );
     }
 }
+
+/// Tells the watch of a run how its exchange failed, if it did.
+async fn watch_failure<T>(
+    watch: &mut RunWatch,
+    exchanged: Result<T, ExchangeError>,
+) -> Result<T, ExchangeError> {
+    match &exchanged {
+        Err(e) if e.is_crash() => watch.record_crash().await,
+        // The watch sees by itself whether the endpoint was silent.
+        Ok(_) | Err(ExchangeError::Broken { cause: BreakCause::Silent, .. }) => {}
+        Err(_) => watch.dismiss(),
+    }
+    exchanged
+}
--- /dev/null
+++ b/crates/mulberry-direct/src/run_watch.rs
@@ -0,0 +1,86 @@
+//! Watches one run of a request at an endpoint until it ends, also when its caller leaves before.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use mulberry_protocol::endpoint::EndpointRecord;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
+use mulberry_protocol::time::Millis;
+
+use crate::connection::ConnectionPool;
+use crate::fingerprint::fingerprint_text;
+use crate::shared::SharedState;
+
+/// Time without a byte from an endpoint after which it counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(150);
+
+/// A run that was sent to an endpoint. If it is dropped before its end is known, the run was
+/// abandoned: by a timeout, or because the caller left.
+pub struct RunWatch {
+    shared: Arc<SharedState>,
+    pool: ConnectionPool,
+    fingerprint: u64,
+    endpoint: EndpointRecord,
+    sent_at: Millis,
+    sent: Instant,
+    is_open: bool,
+}
+
+impl RunWatch {
+    /// Watches a run that is sent now.
+    pub fn start(
+        shared: Arc<SharedState>,
+        pool: ConnectionPool,
+        fingerprint: u64,
+        endpoint: EndpointRecord,
+    ) -> Self {
+        let sent_at = shared.clock.now();
+        let sent = Instant::now();
+        Self { shared, pool, fingerprint, endpoint, sent_at, sent, is_open: true }
+    }
+
+    /// Returns when the run was sent.
+    pub fn sent_at(&self) -> Millis {
+        self.sent_at
+    }
+
+    /// Records that the endpoint has begun to respond: its silence says nothing from now on.
+    pub fn record_output(&mut self) {
+        self.is_open = false;
+    }
+
+    /// Records that the endpoint ran the request to its end.
+    pub fn complete(&mut self) {
+        self.is_open = false;
+        self.shared.record_run_completed(self.fingerprint, &self.endpoint, self.sent_at);
+    }
+
+    /// Records that the endpoint ended the connection before the end of the run.
+    pub async fn record_crash(&mut self) {
+        self.is_open = false;
+        self.shared.record_crash(self.fingerprint, &self.endpoint, self.sent_at).await;
+    }
+
+    /// Records that the run ended in a way that says nothing of a crash.
+    pub fn dismiss(&mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for RunWatch {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        let silence = self.pool.silence_since(self.endpoint.address, self.sent);
+        if silence < SILENT_AFTER {
+            return;
+        }
+        self.shared.metrics.count("direct.runs_unanswered");
+        log_event!(info, Event::RunUnanswered, fingerprint = fingerprint_text(self.fingerprint),
+            endpoint = %self.endpoint.name, span_ms = self.sent.elapsed().as_millis() as u64,
+            silent_ms = silence.as_millis() as u64);
+    }
+}
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -74,7 +74,7 @@
                 Some((Ok(chunk), Some(state)))
             }
             NextChunk::End => {
-                state.record_completion();
+                state.open.watch.complete();
                 state.record_timing();
                 state.log_end("complete");
                 None
@@ -94,6 +94,9 @@
             let left_ms = self.req.due.since(self.relay.shared.clock.now());
             let reading = self.open.response.next_chunk();
             let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
+            if matches!(read, Ok(Ok(Some(_)))) {
+                self.open.watch.record_output();
+            }
             match read {
                 Err(_) => return NextChunk::Abort("time-out"),
                 Ok(Ok(Some(chunk))) if !self.req.route.resumable => {
@@ -162,12 +165,10 @@
 
     /// Records that the endpoint broke the stream off, with the error or, without one, within an
     /// event.
-    async fn record_break(&self, error: Option<ExchangeError>) {
+    async fn record_break(&mut self, error: Option<ExchangeError>) {
         let error = error.unwrap_or_else(ExchangeError::ended_within_event);
-        let endpoint = &self.open.choice.endpoint;
         if error.is_crash() {
-            let shared = &self.relay.shared;
-            shared.record_crash(self.req.fingerprint, endpoint, self.open.sent_at).await;
+            self.open.watch.record_crash().await;
         }
         let (cause, detail) = match error {
             ExchangeError::Broken { cause, detail } => (Some(cause), detail),
@@ -190,19 +191,13 @@
         );
     }
 
-    fn record_completion(&self) {
-        let OpenStream { choice, sent_at, .. } = &self.open;
-        let shared = &self.relay.shared;
-        shared.record_run_completed(self.req.fingerprint, &choice.endpoint, *sent_at);
-    }
-
     /// Records the timing of a stream that ran at a single endpoint, for the queue limits.
     fn record_timing(&self) {
         let Some(first_chunk_at) = self.first_chunk_at.filter(|_| self.tried.is_empty()) else {
             return;
         };
         let shared = &self.relay.shared;
-        let first_ms = first_chunk_at.since(self.open.sent_at);
+        let first_ms = first_chunk_at.since(self.open.watch.sent_at());
         let rest_ms = shared.clock.now().since(first_chunk_at);
         shared.queue_limits().record_run(&self.open.choice.endpoint.service, first_ms, rest_ms);
     }
--- a/crates/mulberry-policy/src/crash_suspects/evidence.rs
+++ b/crates/mulberry-policy/src/crash_suspects/evidence.rs
@@ -30,6 +30,28 @@
     }
 }
 
+/// Why a crash does not count against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotCounted {
+    /// The endpoint has completed nothing since it broke the last time.
+    EndpointAtFault,
+    /// The request was sent before the last crash that counted.
+    SameMoment,
+    /// The service has completed no other run since the crash before.
+    Unproven,
+}
+
+impl NotCounted {
+    /// Returns the reason's name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NotCounted::EndpointAtFault => "endpoint-at-fault",
+            NotCounted::SameMoment => "same-moment",
+            NotCounted::Unproven => "unproven",
+        }
+    }
+}
+
 /// A run of a request at an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Run<'a> {
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -45,6 +45,7 @@
 use crate::suspects::SUSPECT_TTL_MS;
 
 pub use evidence::CrashEvidence;
+pub use evidence::NotCounted;
 pub use evidence::POINTS_TO_CONVICT;
 pub use evidence::Run;
 
@@ -140,7 +141,7 @@
         if is_due { ItemPermission::Run } else { ItemPermission::Wait }
     }
 
-    /// Records that the endpoint ended the connection of a run, and what it did then. Returns none if
+    /// Records that the endpoint ended the connection of a run, and what it did then. Returns why, if
     /// that does not count: a request that was sent before the last known crash may have been hit by
     /// the same loss of several endpoints, and where nothing else completes, the endpoint or the
     /// service may be at fault.
@@ -149,10 +150,10 @@
         run: Run<'_>,
         evidence: CrashEvidence,
         now: Millis,
-    ) -> Option<CrashVerdict> {
+    ) -> Result<CrashVerdict, NotCounted> {
         let Run { fingerprint, service, endpoint, sent_at } = run;
         if !self.endpoints.entry(endpoint).or_default().record_break(sent_at, now) {
-            return None;
+            return Err(NotCounted::EndpointAtFault);
         }
         let completed_at = self.completed_at.get(service).copied();
         let convicted_count = self.records.values().filter(|r| r.is_convicted(now)).count();
@@ -161,8 +162,11 @@
         let was_refused = record.refused_until(now).is_some();
         let is_proven = completed_at.is_some_and(|at| at > record.last_crash_at);
         let is_same_moment = record.points > 0 && sent_at < record.last_crash_at;
-        if is_same_moment || record.points >= POINTS_WITHOUT_PROOF && !is_proven {
-            return None;
+        if is_same_moment {
+            return Err(NotCounted::SameMoment);
+        }
+        if record.points >= POINTS_WITHOUT_PROOF && !is_proven {
+            return Err(NotCounted::Unproven);
         }
         let points = evidence.points();
         record.is_reported = true;
@@ -172,7 +176,7 @@
             record.convict_if_proven(now);
         }
         let newly_refused = record.refused_until(now).is_some() && !was_refused;
-        Some(CrashVerdict { fingerprint, points: record.points, newly_refused })
+        Ok(CrashVerdict { fingerprint, points: record.points, newly_refused })
     }
 
     /// Records that the endpoint ran the request to its end, which clears a suspect.
--- a/crates/mulberry-policy/tests/crash_suspects/main.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/main.rs
@@ -37,14 +37,14 @@
 ) {
     let service = ServiceName::new("svc");
     let run = Run { fingerprint, service: &service, endpoint, sent_at: Millis(sent) };
-    suspects.record_crash(run, CrashEvidence::Refused, Millis(at));
+    let _verdict = suspects.record_crash(run, CrashEvidence::Refused, Millis(at));
 }
 
 /// Has an endpoint end a connection of the request and accept others.
 pub(crate) fn end_connection(suspects: &mut CrashSuspects, endpoint: u64, sent: u64, at: u64) {
     let service = ServiceName::new("svc");
     let run = Run { fingerprint: POISON, service: &service, endpoint, sent_at: Millis(sent) };
-    suspects.record_crash(run, CrashEvidence::Unclear, Millis(at));
+    let _verdict = suspects.record_crash(run, CrashEvidence::Unclear, Millis(at));
 }
 
 pub(crate) fn complete(suspects: &mut CrashSuspects, fingerprint: u64, endpoint: u64, at: u64) {
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -136,6 +136,10 @@
     PoisonConfirmed = 601, "request confirmed to crash endpoints";
     /// An endpoint ended the connection while it had a request, which may be the cause.
     CrashCounted = 602, "crash counted for a request";
+    /// An endpoint ended the connection while it had a request, and that was not counted.
+    CrashNotCounted = 603, "crash not counted";
+    /// A run was abandoned, by a timeout or since its caller left, while its endpoint was silent.
+    RunUnanswered = 604, "run abandoned at a silent endpoint";
     /// A request was refused.
     RequestRefused = 700, "request refused";
     /// A request was answered by an endpoint.
