--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -182,17 +182,17 @@
             Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
                 return CrashEvidence::Refused;
             }
-            Ok(Err(_)) | Err(_) => return CrashEvidence::Unclear,
+            Ok(Err(_)) | Err(_) => return CrashEvidence::Ended,
             // An ending process may close its listening socket last. It then ends the connections
             // that it has not accepted.
             Ok(Ok(stream)) => {
                 if timeout(PROBE_HOLD_TIME, stream.readable()).await.is_err() {
-                    return CrashEvidence::Unclear;
+                    return CrashEvidence::Ended;
                 }
             }
         }
     }
-    CrashEvidence::Unclear
+    CrashEvidence::Ended
 }
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -2,15 +2,19 @@
 
 use std::sync::MutexGuard;
 
+use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::crash_suspects::CrashSuspects;
 use mulberry_policy::crash_suspects::CrashVerdict;
+use mulberry_policy::crash_suspects::MAX_TRIALS;
+use mulberry_policy::crash_suspects::Permission;
 use mulberry_policy::crash_suspects::Run;
 use mulberry_policy::crash_suspects::SuspectSender;
+use mulberry_policy::crash_suspects::ToldSuspect;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
-use mulberry_protocol::heartbeat::Suspect;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EntryName;
+use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::time::Millis;
@@ -20,6 +24,16 @@
 use crate::shared::SharedState;
 use crate::shared::lock;
 
+/// `Retry-After` of a convicted request whose trial could not be claimed, in milliseconds.
+const UNCLAIMED_RETRY_MS: u64 = 1_000;
+
+fn refuse_convicted(fingerprint: u64, retry_ms: u64) -> Refusal {
+    let fingerprint = fingerprint_text(fingerprint);
+    let detail = format!("the request with the fingerprint {fingerprint} crashes endpoints");
+    let retry_ms = u32::try_from(retry_ms).unwrap_or(u32::MAX);
+    Refusal::not_run(RefusalReason::Poison, detail).retry_after(retry_ms)
+}
+
 fn endpoint_run(fingerprint: u64, endpoint: &EndpointRecord, sent_at: Millis) -> Run<'_> {
     Run { fingerprint, service: &endpoint.service, endpoint: endpoint.load_key(), sent_at }
 }
@@ -30,19 +44,28 @@
         lock(&self.crash_suspects)
     }
 
-    /// Returns a refusal if the request is known to crash endpoints. It says when the request may
-    /// be sent again.
-    pub fn check_not_convicted(&self, fingerprint: u64) -> Result<(), Refusal> {
+    /// Returns whether a request of the service needs a claimed trial to run, or the refusal if it may
+    /// not run now. That says when the request may be sent again.
+    pub fn check_permission(
+        &self,
+        fingerprint: u64,
+        service: &ServiceName,
+    ) -> Result<bool, Refusal> {
         let now = self.clock.now();
-        let Some(until) = self.crash_suspects().refused_until(fingerprint, now) else {
-            return Ok(());
-        };
-        let detail = format!(
-            "the request with the fingerprint {} crashes endpoints",
-            fingerprint_text(fingerprint)
-        );
-        let retry_ms = u32::try_from(until.since(now)).unwrap_or(u32::MAX);
-        Err(Refusal::not_run(RefusalReason::Poison, detail).retry_after(retry_ms))
+        let permission = self.crash_suspects().permission(fingerprint, service, now);
+        match permission {
+            Permission::Run => Ok(false),
+            Permission::Trial => Ok(true),
+            Permission::Refuse { until } => Err(refuse_convicted(fingerprint, until.since(now))),
+        }
+    }
+
+    /// Claims a trial of a convicted online request. Returns the refusal if there is none.
+    pub async fn claim_online_trial(&self, fingerprint: u64) -> Result<(), Refusal> {
+        match self.claim_trial(fingerprint, MAX_TRIALS).await {
+            true => Ok(()),
+            false => Err(refuse_convicted(fingerprint, UNCLAIMED_RETRY_MS)),
+        }
     }
 
     /// Returns whether this process may send a request to another endpoint after an endpoint ended
@@ -59,23 +82,31 @@
     /// `sent_at`. Probes the endpoint to see whether its process has ended.
     pub async fn record_crash(&self, fingerprint: u64, endpoint: &EndpointRecord, sent_at: Millis) {
         let evidence = probe_after_break(endpoint.address).await;
+        self.record_break(fingerprint, endpoint, sent_at, evidence);
+    }
+
+    /// Records that a run of a request broke, which was sent at `sent_at`, with this evidence of a
+    /// crash.
+    pub fn record_break(
+        &self,
+        fingerprint: u64,
+        endpoint: &EndpointRecord,
+        sent_at: Millis,
+        evidence: CrashEvidence,
+    ) {
         let now = self.clock.now();
         let run = endpoint_run(fingerprint, endpoint, sent_at);
         let recorded = self.crash_suspects().record_crash(run, evidence, now);
-        let verdict = match recorded {
-            Ok(verdict) => verdict,
-            Err(reason) => {
-                self.metrics.count_reason("direct.crashes_not_counted", reason.as_str());
-                log_event!(info, Event::CrashNotCounted,
-                    fingerprint = fingerprint_text(fingerprint), endpoint = %endpoint.name,
-                    after = ?evidence, reason = reason.as_str());
-                return;
-            }
+        let Some(verdict) = recorded else {
+            self.metrics.count("direct.crashes_not_counted");
+            log_event!(info, Event::CrashNotCounted, fingerprint = fingerprint_text(fingerprint),
+                endpoint = %endpoint.name, after = ?evidence);
+            return;
         };
         self.metrics.count("direct.crashes_counted");
         log_event!(info, Event::CrashCounted, fingerprint = fingerprint_text(fingerprint),
-            endpoint = %endpoint.name, after = ?evidence, points = verdict.points);
-        if verdict.newly_refused {
+            endpoint = %endpoint.name, after = ?evidence, crashes = verdict.crashes);
+        if verdict.newly_convicted {
             self.report_conviction(verdict, None);
         }
     }
@@ -89,11 +120,16 @@
     ) {
         let now = self.clock.now();
         let run = endpoint_run(fingerprint, endpoint, sent_at);
-        self.crash_suspects().record_completed(run, now);
+        if self.crash_suspects().record_completed(run, now) {
+            self.metrics.count("direct.requests_cleared");
+            log_event!(info, Event::PoisonCleared, fingerprint = fingerprint_text(fingerprint),
+                endpoint = %endpoint.name);
+            self.forget_conviction(fingerprint);
+        }
     }
 
     /// Merges the suspects in a peer's heartbeat.
-    pub fn merge_suspects(&self, sender: &SuspectSender, suspects: &[Suspect]) {
+    pub fn merge_suspects(&self, sender: &SuspectSender, suspects: &[ToldSuspect]) {
         let now = self.clock.now();
         let convicted = self.crash_suspects().merge(sender, suspects, now);
         for verdict in convicted {
@@ -110,7 +146,7 @@
             warn,
             Event::PoisonConfirmed,
             fingerprint = fingerprint_text(verdict.fingerprint),
-            points = verdict.points,
+            crashes = verdict.crashes,
             peer = peer.map_or("", |p| p.as_str())
         );
     }
--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -29,6 +29,7 @@
 use crate::shared::SharedState;
 use crate::store_watch::watch_configuration;
 use crate::store_watch::watch_endpoints;
+use crate::trials::serve_trials;
 
 /// Time for which idle connections of callers are kept open.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
@@ -89,6 +90,7 @@
     actix_rt::spawn(watch_endpoints(shared.clone(), store.clone(), gate.subscribe(), || {}));
     actix_rt::spawn(maintain_membership(shared.clone(), store.clone(), PeerRole::Entry));
     actix_rt::spawn(receive_heartbeats(shared.clone(), socket.clone(), |_| {}));
+    actix_rt::spawn(serve_trials(shared.clone(), store.clone()));
     actix_rt::spawn(send_heartbeats(shared.clone(), store, socket, PeerRole::Entry, || None));
     wait_for_signal().await;
     drain(&shared, server).await;
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod sse;
 pub mod store_watch;
 pub mod stream_body;
+pub mod trials;
--- a/crates/mulberry-direct/src/owner/convicted_items.rs
+++ b/crates/mulberry-direct/src/owner/convicted_items.rs
@@ -23,8 +23,10 @@
     log: &JobLog,
     item: &ItemState,
 ) -> ItemPermission {
+    let Some(target) = route.targets.first() else { return ItemPermission::Run };
     let kept_until = log.known_since + route.batch.retention_ms;
-    owner.shared.crash_suspects().item_permission(item.fingerprint, kept_until, owner.now())
+    let suspects = owner.shared.crash_suspects();
+    suspects.item_permission(item.fingerprint, &target.service, kept_until, owner.now())
 }
 
 /// Gives up the convicted items whose retention time is over.
--- a/crates/mulberry-direct/src/owner/conviction_store.rs
+++ b/crates/mulberry-direct/src/owner/conviction_store.rs
@@ -18,6 +18,7 @@
 use mulberry_protocol::time::Millis;
 
 use crate::owner::Owner;
+use crate::trials::delete_conviction;
 
 /// Interval at which the owner looks for convictions to write, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 500;
@@ -44,7 +45,7 @@
                 stored = load_convictions(&owner).await?;
                 loaded_generation = Some(generation);
             }
-            store_new_convictions(&owner, &mut stored).await
+            store_convictions(&owner, &mut stored).await
         };
         if let Err(e) = kept.await {
             log_event!(debug, Event::StoreFailed, error = %e, what = "convictions");
@@ -73,17 +74,23 @@
         }
         stored.insert(conviction.fingerprint);
         let until = now + left_s * 1_000;
-        owner.shared.crash_suspects().add_conviction(conviction.fingerprint, until, now);
+        let mut suspects = owner.shared.crash_suspects();
+        suspects.add_conviction(conviction.fingerprint, until, now);
+        suspects.record_trials(conviction.fingerprint, conviction.trials, now);
     }
     Ok(stored)
 }
 
-async fn store_new_convictions(
-    owner: &Owner,
-    stored: &mut IndexSet<u64>,
-) -> Result<(), PlatformError> {
+/// Stores new convictions, and deletes those of requests that have completed since.
+async fn store_convictions(owner: &Owner, stored: &mut IndexSet<u64>) -> Result<(), PlatformError> {
     let now = owner.now();
     let convictions = owner.shared.crash_suspects().convictions(now);
+    let is_void = |f: &&u64| !convictions.iter().any(|(convicted, _)| convicted == *f);
+    let void: Vec<u64> = stored.iter().filter(is_void).copied().collect();
+    for fingerprint in void {
+        delete_conviction(&owner.store, fingerprint).await?;
+        stored.swap_remove(&fingerprint);
+    }
     for (fingerprint, until) in convictions {
         if !stored.contains(&fingerprint) {
             store_conviction(owner, fingerprint, until, now).await?;
@@ -101,8 +108,8 @@
     now: Millis,
 ) -> Result<(), PlatformError> {
     let until_unix_s = owner.shared.clock.unix_s() + until.since(now) / 1_000;
-    let conviction = StoredConviction { fingerprint, until_unix_s };
-    // A conflict means that an owner before has stored it.
+    let conviction = StoredConviction { fingerprint, until_unix_s, trials: 0 };
+    // A conflict means that an owner before has stored it, or that a trial was claimed.
     owner.store.create(CallClass::Listing, &conviction.key(), to_json(&conviction)?).await?;
     owner.shared.metrics.count("direct.convictions_stored");
     Ok(())
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -35,6 +35,7 @@
 use crate::shared::SharedState;
 use crate::store_watch::watch_configuration;
 use crate::store_watch::watch_endpoints;
+use crate::trials::serve_trials;
 
 /// Longest time that writing the last results and releasing the lease may take at shutdown.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -93,6 +94,7 @@
     actix_rt::spawn(execute_drain_orders(owner.clone()));
     actix_rt::spawn(delete_expired_jobs(owner.clone()));
     actix_rt::spawn(keep_convictions(owner.clone()));
+    actix_rt::spawn(serve_trials(shared.clone(), owner.store.clone()));
     wait_for_signal().await;
     log_event!(info, Event::ProcessStopping, name = %shared.settings.name);
     shared.stop.trigger();
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -15,6 +16,8 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use mulberry_policy::crash_suspects::CrashEvidence;
+use mulberry_policy::crash_suspects::MAX_ITEM_TRIALS;
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
@@ -31,6 +34,7 @@
 use crate::fingerprint::fingerprint_text;
 use crate::owner::ItemKey;
 use crate::owner::Owner;
+use crate::run_watch::SILENT_AFTER;
 use crate::sse::SseParser;
 
 /// Time without data from the endpoint after which a run is given up.
@@ -41,6 +45,8 @@
     pub(crate) key: ItemKey,
     pub(crate) item: Arc<JobItem>,
     pub(crate) fingerprint: u64,
+    /// Whether the item is convicted and runs only if that is claimed.
+    pub(crate) needs_trial: bool,
     pub(crate) host: Arc<str>,
     pub(crate) endpoint: EndpointRecord,
     pub(crate) last_event: Option<u64>,
@@ -51,7 +57,7 @@
 
 /// Runs an item and records how the run ended.
 pub(crate) async fn run_item(owner: Rc<Owner>, spec: RunSpec) {
-    let started = owner.now();
+    let (started, sent) = (owner.now(), Instant::now());
     let events_before = count_events(&owner, &spec);
     let load = owner.shared.begin_load(spec.endpoint.load_key(), LoadClass::Batch);
     let mut broke = None;
@@ -81,7 +87,7 @@
         _ => owner.shared.record_endpoint_success(&spec.endpoint.name),
     }
     let progressed = count_events(&owner, &spec) > events_before;
-    record_effect(&owner, &spec, outcome, broke.filter(|_| !progressed), started).await;
+    record_effect(&owner, &spec, outcome, broke.filter(|_| !progressed), (started, sent)).await;
     if !owner.is_current(spec.generation) {
         return;
     }
@@ -89,6 +95,10 @@
     let now = owner.now();
     let mut state = owner.state.borrow_mut();
     state.runs.swap_remove(&spec.key);
+    if outcome == RunOutcome::Broken && !progressed {
+        // What the endpoint had read of the prompt is hardly there any more.
+        state.last_endpoints.swap_remove(&spec.key);
+    }
     if outcome == RunOutcome::Completed && events_before == 0 {
         state.run_time.record(events, now.since(started));
     }
@@ -109,7 +119,7 @@
     spec: &RunSpec,
     outcome: RunOutcome,
     break_without_progress: Option<BreakCause>,
-    started: Millis,
+    (started, sent): (Millis, Instant),
 ) {
     let shared = &owner.shared;
     match outcome {
@@ -119,6 +129,13 @@
         RunOutcome::Broken if break_without_progress == Some(BreakCause::Ended) => {
             shared.record_crash(spec.fingerprint, &spec.endpoint, started).await;
         }
+        RunOutcome::Broken
+            if break_without_progress == Some(BreakCause::Silent)
+                && owner.pool.silence_since(spec.endpoint.address, sent) >= SILENT_AFTER =>
+        {
+            let evidence = CrashEvidence::Silent;
+            shared.record_break(spec.fingerprint, &spec.endpoint, started, evidence);
+        }
         RunOutcome::Broken | RunOutcome::NotRun | RunOutcome::Stopped => {}
     }
 }
@@ -130,6 +147,10 @@
 }
 
 async fn stream_output(owner: &Owner, spec: &RunSpec) -> Result<RunOutcome, ExchangeError> {
+    if spec.needs_trial && !owner.shared.claim_trial(spec.fingerprint, MAX_ITEM_TRIALS).await {
+        let detail = "no trial of the convicted item could be claimed".to_owned();
+        return Err(ExchangeError::NotSent { detail });
+    }
     let request = item_request(owner, spec)?;
     let sending = exchange(&owner.pool, owner.shared.dialect.headers(), request);
     let mut response = with_read_timeout(sending).await?;
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -124,8 +124,7 @@
                     });
                 }
                 ItemPhase::Waiting(at)
-                    if at <= now
-                        && item_permission(owner, route, log, item) == ItemPermission::Run =>
+                    if at <= now && may_start(item_permission(owner, route, log, item)) =>
                 {
                     waiting.push(WaitingItem {
                         last_endpoint: state.last_endpoints.get(&key).copied(),
@@ -141,6 +140,13 @@
     BatchWork { running, waiting }
 }
 
+fn may_start(permission: ItemPermission) -> bool {
+    match permission {
+        ItemPermission::Run | ItemPermission::Trial => true,
+        ItemPermission::Wait | ItemPermission::GiveUp => false,
+    }
+}
+
 /// Logs what was planned for a service, once a second while it has items.
 fn log_plan(
     owner: &Owner,
@@ -240,6 +246,8 @@
     let generation = state.generation;
     let Some(log) = state.jobs.get_mut(&key.0) else { return };
     let route = find_route(configuration, &log.route);
+    let permission = route.zip(log.items().get(key.1));
+    let permission = permission.map(|(route, item)| item_permission(owner, route, log, item));
     let max_failed = route.map_or(DEFAULT_MAX_FAILED_RUNS, |r| r.attempts);
     let host = log.host.clone();
     let Some(item) = log.item_mut(key.1) else { return };
@@ -248,6 +256,7 @@
         key: key.clone(),
         item: item.item.clone(),
         fingerprint: item.fingerprint,
+        needs_trial: permission == Some(ItemPermission::Trial),
         host,
         endpoint: endpoint.clone(),
         last_event: item.progress.last_event,
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -16,6 +16,7 @@
 use mulberry_platform::store::parse_json;
 use mulberry_platform::store::to_json;
 use mulberry_policy::crash_suspects::SuspectSender;
+use mulberry_policy::crash_suspects::ToldSuspect;
 use mulberry_policy::heartbeat_interval::HeartbeatReceiver;
 use mulberry_policy::heartbeat_interval::HeartbeatSender;
 use mulberry_policy::heartbeat_interval::MIN_HEARTBEAT_INTERVAL_MS;
@@ -27,15 +28,15 @@
 use mulberry_protocol::auth::SecretKeyring;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::heartbeat::MAX_DATAGRAM_BYTES;
-use mulberry_protocol::heartbeat::Suspect;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EntryName;
 use mulberry_protocol::peer::Member;
 use mulberry_protocol::peer::OwnerClaim;
+use mulberry_protocol::peer::PeerDatagram;
 use mulberry_protocol::peer::PeerHeartbeat;
 use mulberry_protocol::peer::PeerRole;
-use mulberry_protocol::peer::decode_peer_heartbeat;
-use mulberry_protocol::peer::encode_peer_heartbeat;
+use mulberry_protocol::peer::decode_peer_datagram;
+use mulberry_protocol::peer::encode_peer_datagram;
 
 use crate::shared::Peer;
 use crate::shared::SharedState;
@@ -150,10 +151,10 @@
         // A receive error only reports that an earlier outgoing datagram was not delivered.
         let Ok((bytes, from)) = socket.recv_from(&mut buf).await else { continue };
         let Some(secrets) = shared.secrets.load_full() else { continue };
-        match decode_peer_heartbeat(&buf[..bytes], &secrets) {
-            Ok(heartbeat) => {
-                apply_heartbeat(&shared, &heartbeat);
-                if let Some(claim) = &heartbeat.owner {
+        match decode_peer_datagram(&buf[..bytes], &secrets) {
+            Ok(datagram) => {
+                apply_heartbeat(&shared, &datagram);
+                if let Some(claim) = &datagram.heartbeat.owner {
                     on_claim(claim);
                 }
             }
@@ -165,15 +166,19 @@
     }
 }
 
-fn apply_heartbeat(shared: &SharedState, heartbeat: &PeerHeartbeat) {
+fn apply_heartbeat(shared: &SharedState, datagram: &PeerDatagram) {
     let now = shared.clock.now();
+    let heartbeat = &datagram.heartbeat;
     add_peer(shared, heartbeat.member.clone());
     let name = &heartbeat.member.name;
     let (incarnation, recoveries, version) =
         (heartbeat.incarnation, heartbeat.store_recoveries, heartbeat.version);
     shared.record_store_report(name, StoreReport { incarnation, recoveries, version });
     let sender = SuspectSender { name: name.clone(), incarnation, sequence: heartbeat.sequence };
-    shared.merge_suspects(&sender, &heartbeat.suspects);
+    let mut details = datagram.details.iter().cloned();
+    let told = heartbeat.suspects.iter().cloned();
+    let told = told.map(|suspect| ToldSuspect { suspect, detail: details.next() });
+    shared.merge_suspects(&sender, &told.collect::<Vec<_>>());
     let report = LoadReport {
         incarnation,
         sequence: heartbeat.sequence,
@@ -205,20 +210,24 @@
         shared.record_store_report(&member.name, StoreReport { incarnation, recoveries, version });
         let Some(secrets) = shared.secrets.load_full() else { continue };
         sequence += 1;
-        let mut heartbeat = PeerHeartbeat {
+        let owner = claim();
+        let told = suspects_to_send(&shared, owner.is_some());
+        let heartbeat = PeerHeartbeat {
             member: member.clone(),
             incarnation,
             sequence,
             next_ms: MIN_HEARTBEAT_INTERVAL_MS,
             version,
             store_recoveries: recoveries,
-            owner: claim(),
+            owner,
             loads: shared.occupancy().own_loads(),
-            suspects: suspects_to_send(&shared),
+            suspects: told.iter().map(|t| t.suspect.clone()).collect(),
         };
-        for (next_ms, addresses) in due_addresses_by_interval(&shared, &heartbeat) {
-            heartbeat.next_ms = next_ms;
-            match encode_peer_heartbeat(&heartbeat, &secrets) {
+        let details = told.into_iter().filter_map(|t| t.detail).collect();
+        let mut datagram = PeerDatagram { heartbeat, details };
+        for (next_ms, addresses) in due_addresses_by_interval(&shared, &datagram.heartbeat) {
+            datagram.heartbeat.next_ms = next_ms;
+            match encode_peer_datagram(&datagram, &secrets) {
                 Ok(datagram) => addresses.into_iter().for_each(|address| {
                     // A datagram that can't be sent is treated like one lost on the way.
                     let _unsent = socket.try_send_to(&datagram, address);
@@ -229,12 +238,13 @@
     }
 }
 
-/// Returns the suspects for the next heartbeat, and forgets expired ones.
-fn suspects_to_send(shared: &SharedState) -> Vec<Suspect> {
+/// Returns the suspects for the next heartbeat, and forgets expired ones. The owner of the jobs
+/// `passes_on` what others told.
+fn suspects_to_send(shared: &SharedState, passes_on: bool) -> Vec<ToldSuspect> {
     let now = shared.clock.now();
     let mut suspects = shared.crash_suspects();
     suspects.remove_expired(now);
-    suspects.suspects_to_send(&mut rand::rng(), now)
+    suspects.suspects_to_send(passes_on, &mut rand::rng(), now)
 }
 
 /// Returns the addresses that receive this heartbeat, grouped by the interval in milliseconds until
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -163,6 +163,8 @@
 /// Outcomes of the attempts at one request so far.
 struct AttemptState {
     tried: Vec<EndpointName>,
+    /// Whether a trial was claimed for the request.
+    has_trial: bool,
     /// Failed attempts that may have run.
     may_have_run: u32,
     /// Failed attempts that certainly did not run.
@@ -176,13 +178,13 @@
     pub async fn forward(&self, req: &CallerRequest) -> Result<RelayResponse, Refusal> {
         let mut attempts = AttemptState {
             tried: Vec::new(),
+            has_trial: false,
             may_have_run: 0,
             not_run: 0,
             worst_run: RunState::NotRun,
         };
         loop {
-            let choosing = self.shared.check_not_convicted(req.fingerprint);
-            let choice = match choosing.and_then(|()| self.choose(req, &attempts.tried)) {
+            let choice = match self.choose_permitted(req, &mut attempts).await {
                 Ok(choice) => choice,
                 Err(refusal) => return Err(final_refusal(refusal, attempts.worst_run)),
             };
@@ -226,6 +228,27 @@
         }
     }
 
+    /// Chooses an endpoint for a request that may run, and claims its trial if it needs one.
+    async fn choose_permitted(
+        &self,
+        req: &CallerRequest,
+        attempts: &mut AttemptState,
+    ) -> Result<EndpointChoice, Refusal> {
+        let has_trial = attempts.has_trial && attempts.may_have_run == 0;
+        let needs_trial = match req.route.targets.first() {
+            Some(target) if !has_trial => {
+                self.shared.check_permission(req.fingerprint, &target.service)?
+            }
+            Some(_) | None => false,
+        };
+        let choice = self.choose(req, &attempts.tried)?;
+        if needs_trial {
+            self.shared.claim_online_trial(req.fingerprint).await?;
+            attempts.has_trial = true;
+        }
+        Ok(choice)
+    }
+
     /// Sends a request to one endpoint. `resume_after` is the number of the last stream event that
     /// the caller has received; the endpoint continues after it.
     pub async fn try_endpoint(
--- a/crates/mulberry-direct/src/run_watch.rs
+++ b/crates/mulberry-direct/src/run_watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -14,7 +15,7 @@
 use crate::shared::SharedState;
 
 /// Time without a byte from an endpoint after which it counts as silent.
-const SILENT_AFTER: Duration = Duration::from_millis(150);
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(150);
 
 /// A run that was sent to an endpoint. If it is dropped before its end is known, the run was
 /// abandoned: by a timeout, or because the caller left.
@@ -82,5 +83,7 @@
         log_event!(info, Event::RunUnanswered, fingerprint = fingerprint_text(self.fingerprint),
             endpoint = %self.endpoint.name, span_ms = self.sent.elapsed().as_millis() as u64,
             silent_ms = silence.as_millis() as u64);
+        let (fingerprint, sent_at) = (self.fingerprint, self.sent_at);
+        self.shared.record_break(fingerprint, &self.endpoint, sent_at, CrashEvidence::Silent);
     }
 }
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -37,6 +37,7 @@
 
 use crate::dialect::Dialect;
 use crate::settings::DirectSettings;
+use crate::trials::TrialDesk;
 
 /// Records of the known endpoints, by name.
 pub type Endpoints = IndexMap<EndpointName, EndpointRecord>;
@@ -85,6 +86,7 @@
     ejector: Mutex<Ejector>,
     queue_limits: Mutex<QueueLimits>,
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
+    pub(crate) trials: TrialDesk,
 }
 
 /// Locks a mutex. What it guards is valid after each step, so that a panic of another thread does
@@ -120,6 +122,7 @@
             ejector: Mutex::default(),
             queue_limits: Mutex::default(),
             crash_suspects: Mutex::default(),
+            trials: TrialDesk::default(),
         })
     }
 
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -1,37 +1,36 @@
 //! What one process knows of one request.
 
-use indexmap::IndexMap;
-
-use mulberry_protocol::name::EntryName;
+use mulberry_protocol::peer::SuspectDetail;
 use mulberry_protocol::time::Millis;
 
-use crate::crash_suspects::evidence::POINTS_TO_CONVICT;
+use crate::crash_suspects::CRASHES_TO_CONVICT;
+use crate::crash_suspects::crash::Crash;
+use crate::crash_suspects::crash::ms_ago;
 use crate::suspects::CONFIRMED_TTL_MS;
 use crate::suspects::SUSPECT_TTL_MS;
 
+/// Crashes that convict a request at once, however unclear the evidence of each.
+const MAX_UNCLEAR_CRASHES: usize = 6;
+
+/// Time after the send that crashed the third endpoint for which a request with unclear evidence
+/// still runs freely, in milliseconds. A spoilt response is then often followed by a good one.
+const GRACE_MS: u64 = 2_000;
+
+/// Most crashes of one request that are kept; later ones replace the last.
+const MAX_CRASHES: usize = 8;
+
 /// Time for which a process that was told of a conviction refuses the request, unless it is told
 /// again, in milliseconds.
-pub(super) const TOLD_TTL_MS: u64 = SUSPECT_TTL_MS;
+const TOLD_TTL_MS: u64 = SUSPECT_TTL_MS;
 
-/// A process that saw a crash.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Observer {
-    Own,
-    Peer(EntryName),
-}
-
-/// The points that one peer has reported of a request.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct PeerPoints {
-    /// Number drawn at the peer's start, which tells a restart.
-    pub(super) incarnation: u64,
-    pub(super) points: u8,
-}
+/// Time after a completed run for which peers may still tell of the conviction before it, in
+/// milliseconds.
+const STALE_TELLING_MS: u64 = 10_000;
 
-/// A conviction that holds for every process.
+/// A conviction that does not follow from the crashes that this process knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Conviction {
-    /// This process counted the crashes, or read the conviction from the store.
+    /// This process read it from the store.
     Known { until: Millis },
     /// A peer told of it.
     Told { until: Millis },
@@ -48,56 +47,82 @@
 /// What is known of one request.
 #[derive(Debug, Clone)]
 pub(super) struct Record {
-    /// Whether peers may have been told of points that this process gave.
-    pub(super) is_reported: bool,
-    /// The points that each peer said last.
-    pub(super) peers: IndexMap<EntryName, PeerPoints>,
-    /// Points in a row, from all processes.
-    pub(super) points: u8,
-    /// Those of them that this process gave.
-    pub(super) own_points: u8,
-    /// The process that gave the last of them.
-    pub(super) last_observer: Option<Observer>,
-    /// Whether more than one process gave them.
-    pub(super) several_observers: bool,
+    /// Crashes in a row, the oldest first, from all processes.
+    pub(super) crashes: Vec<Crash>,
+    /// Whether this process observed some of them, or completed the request after some.
+    pub(super) is_observer: bool,
+    /// Whether the service completed another request between two of them.
+    pub(super) is_proven: bool,
+    /// When the request last completed somewhere.
+    pub(super) completed_at: Option<Millis>,
     pub(super) conviction: Option<Conviction>,
-    pub(super) last_crash_at: Millis,
+    /// Runs that were claimed since the conviction, and when the last of them began.
+    pub(super) trials: u8,
+    pub(super) last_trial_at: Option<Millis>,
     pub(super) changed_at: Millis,
 }
 
 impl Record {
     pub(super) fn new(now: Millis) -> Self {
         Self {
-            is_reported: false,
-            peers: IndexMap::new(),
-            points: 0,
-            own_points: 0,
-            last_observer: None,
-            several_observers: false,
+            crashes: Vec::new(),
+            is_observer: false,
+            is_proven: false,
+            completed_at: None,
             conviction: None,
-            last_crash_at: now,
+            trials: 0,
+            last_trial_at: None,
             changed_at: now,
         }
     }
 
     pub(super) fn expires_at(&self) -> Millis {
-        let suspected_until = self.changed_at + SUSPECT_TTL_MS;
-        self.conviction.map_or(suspected_until, |c| c.until().max(suspected_until))
+        let ttl_ms = if self.crashes.is_empty() { SUSPECT_TTL_MS } else { CONFIRMED_TTL_MS };
+        let known_until = self.changed_at + ttl_ms;
+        self.conviction.map_or(known_until, |c| c.until().max(known_until))
+    }
+
+    /// Returns until when the request runs only with a claim, or none if it runs freely.
+    pub(super) fn convicted_until(&self, now: Millis) -> Option<Millis> {
+        let told = self.conviction.map(Conviction::until);
+        let last_crash_at = self.crashes.last().map(|c| c.at).filter(|_| self.is_convicting(now));
+        let counted = last_crash_at.map(|at| at + CONFIRMED_TTL_MS);
+        told.max(counted).filter(|until| *until >= now)
+    }
+
+    /// Returns whether the known crashes convict the request.
+    fn is_convicting(&self, now: Millis) -> bool {
+        let Some(last_to_convict) = self.crashes.get(CRASHES_TO_CONVICT - 1) else { return false };
+        self.is_clear()
+            || self.crashes.len() >= MAX_UNCLEAR_CRASHES
+            || now.since(last_to_convict.sent_at) >= GRACE_MS
+    }
+
+    /// Returns whether endpoints refused connections often enough after it.
+    fn is_clear(&self) -> bool {
+        self.clear_crashes() >= CRASHES_TO_CONVICT
+    }
+
+    /// Returns after how many of the crashes the endpoint refused connections.
+    pub(super) fn clear_crashes(&self) -> usize {
+        self.crashes.iter().filter(|c| c.is_refused).count()
     }
 
-    /// Returns until when the process refuses the request, or none if it may run.
-    pub(super) fn refused_until(&self, now: Millis) -> Option<Millis> {
-        let convicted_until = self.conviction.map(Conviction::until);
-        let has_own_evidence = self.own_points >= POINTS_TO_CONVICT;
-        let own_until = has_own_evidence.then(|| self.changed_at + SUSPECT_TTL_MS);
-        convicted_until.max(own_until).filter(|until| *until >= now)
+    /// Returns whether the request itself is the likeliest cause of its crashes, and no single
+    /// endpoint.
+    pub(super) fn is_likely_cause(&self) -> bool {
+        let first = self.crashes.first().map(|c| c.endpoint);
+        let has_several = self.crashes.iter().any(|c| Some(c.endpoint) != first);
+        self.is_proven && self.is_clear() && has_several
     }
 
-    pub(super) fn is_convicted(&self, now: Millis) -> bool {
-        self.conviction.is_some_and(|c| c.until() >= now)
+    /// Returns when the request last ran, as far as is known.
+    pub(super) fn last_run_at(&self) -> Millis {
+        let last_crash_at = self.crashes.last().map(|c| c.at);
+        last_crash_at.max(self.last_trial_at).unwrap_or_default()
     }
 
-    /// Returns until when the conviction holds, if this process knows it at first hand.
+    /// Returns until when the conviction holds, if this process read it from the store.
     pub(super) fn known_until(&self) -> Option<Millis> {
         match self.conviction {
             Some(Conviction::Known { until }) => Some(until),
@@ -105,35 +130,76 @@
         }
     }
 
-    pub(super) fn add_points(&mut self, observer: Observer, points: u8, now: Millis) {
-        self.points = self.points.saturating_add(points);
-        if points > 0 {
-            self.last_crash_at = now;
+    /// Returns whether enough crashes are known to convict the request, if not now then soon.
+    fn has_convicting_crashes(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_CONVICT
+    }
+
+    /// Adds a crash. Returns false if it is known already, or came before a completed run. Up to the
+    /// third one, breaks at an endpoint that may still be down are of the same crash.
+    pub(super) fn add_crash(&mut self, crash: Crash, now: Millis) -> bool {
+        let is_cleared = self.completed_at.is_some_and(|at| crash.at <= at);
+        let is_same =
+            if self.has_convicting_crashes() { Crash::is_same_telling } else { Crash::is_same };
+        if is_cleared || self.crashes.iter().any(|c| is_same(c, &crash)) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.pop();
+        }
+        let index = self.crashes.partition_point(|c| c.at <= crash.at);
+        self.crashes.insert(index, crash);
+        self.changed_at = now;
+        true
+    }
+
+    /// Records that the request completed at this time: what was known of it before is void.
+    pub(super) fn clear(&mut self, completed_at: Millis, now: Millis) {
+        self.completed_at = self.completed_at.max(Some(completed_at));
+        let is_known_before = self.crashes.iter().any(|c| c.at <= completed_at);
+        let is_tried_before = self.last_trial_at.is_some_and(|at| at <= completed_at);
+        if !is_known_before && !is_tried_before && self.conviction.is_none() {
+            return;
         }
+        self.crashes.retain(|c| c.at > completed_at);
+        self.is_proven = false;
+        self.conviction = None;
+        self.trials = 0;
+        self.last_trial_at = None;
         self.changed_at = now;
-        let has_other = self.last_observer.as_ref().is_some_and(|last| *last != observer);
-        self.several_observers |= has_other;
-        self.last_observer = Some(observer);
     }
 
-    /// Convicts the request if its crashes suffice for every process.
-    pub(super) fn convict_if_proven(&mut self, now: Millis) {
-        if self.points >= POINTS_TO_CONVICT && self.several_observers {
-            let known_until = self.known_until().filter(|until| *until >= now);
-            let until = known_until.unwrap_or(now + CONFIRMED_TTL_MS);
-            self.conviction = Some(Conviction::Known { until });
+    /// Records that a peer said that the request is convicted. Ignored if it has just completed: the
+    /// peer may not know that.
+    pub(super) fn tell_conviction(&mut self, now: Millis) {
+        let has_just_completed =
+            self.completed_at.is_some_and(|at| now.since(at) < STALE_TELLING_MS);
+        if !has_just_completed && self.known_until().is_none() {
+            self.conviction = Some(Conviction::Told { until: now + TOLD_TTL_MS });
         }
     }
 
-    /// Forgets the points in a row after a completed run.
-    pub(super) fn clear(&mut self, now: Millis) {
-        if self.points == 0 {
+    /// Takes over what a peer knows of trials.
+    pub(super) fn merge_trials(&mut self, detail: &SuspectDetail, now: Millis) {
+        let Some(began_ms_ago) = detail.last_trial_ms_ago else { return };
+        let began_at = now - u64::from(began_ms_ago);
+        if self.completed_at.is_some_and(|at| began_at <= at) {
             return;
         }
-        self.points = 0;
-        self.own_points = 0;
-        self.changed_at = now;
-        self.last_observer = None;
-        self.several_observers = false;
+        self.trials = self.trials.max(detail.trials);
+        self.last_trial_at = self.last_trial_at.max(Some(began_at));
+    }
+
+    pub(super) fn to_detail(&self, now: Millis) -> SuspectDetail {
+        SuspectDetail {
+            crashes: self.crashes.iter().take(MAX_TOLD_CRASHES).map(|c| c.to_seen(now)).collect(),
+            is_proven: self.is_proven,
+            completed_ms_ago: self.completed_at.map(|at| ms_ago(at, now)),
+            trials: self.trials,
+            last_trial_ms_ago: self.last_trial_at.map(|at| ms_ago(at, now)),
+        }
     }
 }
+
+/// Most crashes of one request that a heartbeat carries.
+const MAX_TOLD_CRASHES: usize = 4;
--- /dev/null
+++ b/crates/mulberry-policy/src/crash_suspects/trials.rs
@@ -0,0 +1,64 @@
+//! When a convicted request may run once more, to show that it is sound.
+
+use mulberry_protocol::time::Millis;
+
+use crate::crash_suspects::record::Record;
+
+/// Runs of a convicted online request that may be claimed. Later ones are refused until the conviction
+/// ends. One less than the platform allows, for a send on its way while the third crash was not known.
+pub const MAX_TRIALS: u8 = 2;
+
+/// The same for an item of a batch job. Only one process runs items, and their acceptance is a promise.
+pub const MAX_ITEM_TRIALS: u8 = 3;
+
+/// Pauses before the trials of a request that is hardly the cause, once its service has completed
+/// another one since, in milliseconds.
+const SHORT_PAUSES_MS: [u64; 2] = [500, 4_000];
+
+/// Pause before the first trial otherwise, in milliseconds.
+const FIRST_LONG_PAUSE_MS: u64 = 30_000;
+
+/// Shortest pause before the last trial otherwise, in milliseconds. It is doubled up to
+/// [`MAX_DOUBLINGS`] times, by fingerprint.
+const LAST_LONG_PAUSE_MS: u64 = 10 * 60_000;
+
+/// Most doublings of [`LAST_LONG_PAUSE_MS`]. A service may run nothing but requests that are all
+/// convicted. Then some of them find out that it works again, and the others still have a trial left.
+const MAX_DOUBLINGS: u64 = 5;
+
+/// Returns from when on the convicted request may have its next trial, or none if it had all.
+/// `service_completed_at` is when its service last completed another request.
+pub(super) fn next_trial_at(
+    fingerprint: u64,
+    record: &Record,
+    service_completed_at: Option<Millis>,
+) -> Option<Millis> {
+    let long_pause_ms = match record.trials {
+        0 => FIRST_LONG_PAUSE_MS,
+        trials if trials < MAX_TRIALS => LAST_LONG_PAUSE_MS << (fingerprint % (MAX_DOUBLINGS + 1)),
+        _ => return None,
+    };
+    let last_run_at = record.last_run_at();
+    let short_pause_ms = short_pause_ms(record, service_completed_at);
+    Some(last_run_at + short_pause_ms.unwrap_or(long_pause_ms))
+}
+
+/// Returns from when on an item that is kept until `kept_until` may have its next trial.
+pub(super) fn next_item_trial_at(
+    record: &Record,
+    service_completed_at: Option<Millis>,
+    kept_until: Millis,
+) -> Option<Millis> {
+    let left_trials = MAX_ITEM_TRIALS.checked_sub(record.trials).filter(|left| *left > 0)?;
+    let last_run_at = record.last_run_at();
+    // The last ones are spread over the time that is left.
+    let spread_ms = kept_until.since(last_run_at) / (u64::from(left_trials) + 1);
+    let short_pause_ms = short_pause_ms(record, service_completed_at);
+    Some(last_run_at + short_pause_ms.map_or(spread_ms, |ms| ms.min(spread_ms)))
+}
+
+fn short_pause_ms(record: &Record, service_completed_at: Option<Millis>) -> Option<u64> {
+    let has_recovered = service_completed_at.is_some_and(|at| at > record.last_run_at());
+    let short_pause_ms = SHORT_PAUSES_MS.get(usize::from(record.trials)).copied();
+    short_pause_ms.filter(|_| has_recovered && !record.is_likely_cause())
+}
--- a/crates/mulberry-policy/src/suspects.rs
+++ b/crates/mulberry-policy/src/suspects.rs
@@ -21,7 +21,7 @@
 pub(crate) const SUSPECT_TTL_MS: u64 = 10 * 60 * 1_000;
 
 /// Time for which a request stays confirmed after its last change, in milliseconds.
-pub(crate) const CONFIRMED_TTL_MS: u64 = 24 * 60 * 60 * 1_000;
+pub const CONFIRMED_TTL_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Time for which a change is sent to peers, in milliseconds.
 pub(crate) const SEND_CHANGES_MS: u64 = 10_000;
--- a/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
@@ -3,15 +3,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::ENDPOINT_COUNT;
 use crate::POISON;
-use crate::SOUND;
 use crate::complete;
 use crate::crash;
+use crate::is_free;
+use crate::permission;
 use crate::sender_of;
-use crate::suspect;
+use crate::told;
 use mulberry_policy::crash_suspects::CrashSuspects;
-use mulberry_policy::crash_suspects::ItemPermission;
+use mulberry_policy::crash_suspects::Permission;
 use mulberry_protocol::time::Millis;
 
 #[test]
@@ -24,16 +24,15 @@
     }
     for number in 0..100 {
         let now = Millis(number * 100);
-        let sent = sender.suspects_to_send(&mut rng, now);
+        let sent = sender.suspects_to_send(false, &mut rng, now);
         assert!(sent.len() <= 8, "{}", sent.len());
         receiver.merge(&sender_of(number + 1), &sent, now);
     }
     for fingerprint in fingerprints {
-        for at in [11_000, 12_000] {
-            complete(&mut receiver, SOUND, fingerprint, at);
-            crash(&mut receiver, fingerprint, fingerprint, at + 1, at + 1);
+        for (endpoint, at) in [(1_000, 11_000), (2_000, 12_000)] {
+            crash(&mut receiver, fingerprint, endpoint + fingerprint, at, at);
         }
-        assert!(receiver.refused_until(fingerprint, Millis(12_001)).is_some(), "{fingerprint}");
+        assert!(!is_free(&receiver, fingerprint, 12_001), "{fingerprint}");
     }
 }
 
@@ -50,42 +49,70 @@
         let now = Millis(hour * 60 * 60 * 1_000);
         // One of the others restarts every hour.
         let mut told = CrashSuspects::default();
-        let sent = first.suspects_to_send(&mut rng, now);
+        let sent = first.suspects_to_send(false, &mut rng, now);
         told.merge(&sender_of(hour + 1), &sent, now);
-        let is_refused = told.refused_until(POISON, now).is_some();
-        assert_eq!(is_refused, now <= Millis(DAY_MS), "hour {hour}");
-        let passed_on = told.suspects_to_send(&mut rng, now);
+        assert_eq!(is_free(&told, POISON, now.0), now > Millis(DAY_MS), "hour {hour}");
+        let passed_on = told.suspects_to_send(false, &mut rng, now);
         assert!(passed_on.is_empty(), "who was told of a conviction does not tell it");
     }
 }
 
 /// Guards against convicting a request that often completes, since a peer told of all its breaks.
 #[test]
-fn breaks_between_completed_runs_convict_nobody_elsewhere() {
+fn crashes_between_completed_runs_convict_nobody_elsewhere() {
     let mut rng = ChaCha8Rng::seed_from_u64(9);
     let (mut sender, mut receiver) = (CrashSuspects::default(), CrashSuspects::default());
     for round in 0..20 {
         let at = round * 1_000;
-        crash(&mut sender, POISON, round % ENDPOINT_COUNT, at, at);
-        let sent = sender.suspects_to_send(&mut rng, Millis(at + 1));
+        crash(&mut sender, POISON, round, at, at);
+        let sent = sender.suspects_to_send(false, &mut rng, Millis(at + 1));
         receiver.merge(&sender_of(2 * round), &sent, Millis(at + 1));
-        complete(&mut sender, POISON, round % ENDPOINT_COUNT, at + 2);
-        let sent = sender.suspects_to_send(&mut rng, Millis(at + 3));
+        complete(&mut sender, POISON, round, at + 2);
+        let sent = sender.suspects_to_send(false, &mut rng, Millis(at + 3));
         receiver.merge(&sender_of(2 * round + 1), &sent, Millis(at + 3));
     }
-    let permission = receiver.item_permission(POISON, Millis(30_000), Millis(20_000));
-    assert_eq!(permission, ItemPermission::Run);
+    assert!(is_free(&receiver, POISON, 20_000));
 }
 
 /// Guards against counting a heartbeat that arrives late as a new crash.
 #[test]
 fn late_heartbeat_changes_nothing() {
     let mut suspects = CrashSuspects::default();
-    for (sequence, crashes) in [(1, 1), (3, 0), (2, 1), (4, 1), (3, 0), (6, 1), (5, 0)] {
-        suspects.merge(&sender_of(sequence), &[suspect(crashes, false)], Millis(sequence * 1_000));
+    for (sequence, at) in [(1, 0), (3, 4_000), (2, 9_000), (3, 13_000)] {
+        suspects.merge(&sender_of(sequence), &[told(&[1], 0, false)], Millis(at));
     }
-    complete(&mut suspects, SOUND, 0, 6_500);
-    crash(&mut suspects, POISON, 1, 7_000, 7_000);
-    crash(&mut suspects, POISON, 2, 7_100, 7_100);
-    assert_eq!(suspects.refused_until(POISON, Millis(7_100)), None);
+    assert!(is_free(&suspects, POISON, 20_000), "two crashes of one endpoint, not four");
+}
+
+/// Guards against a process that has just started and runs the request three times more: the one that
+/// passes on what it was told tells it all.
+#[test]
+fn process_that_has_just_started_is_told_what_others_saw() {
+    let mut rng = ChaCha8Rng::seed_from_u64(17);
+    let mut passing_on = CrashSuspects::default();
+    passing_on.merge(&sender_of(1), &[told(&[1, 2, 3], 0, false)], Millis(1_000));
+    for at in [2_000, 60_000, DAY_MS / 2] {
+        let mut started = CrashSuspects::default();
+        let sent = passing_on.suspects_to_send(true, &mut rng, Millis(at));
+        started.merge(&sender_of(at), &sent, Millis(at));
+        assert!(matches!(
+            permission(&started, POISON, at),
+            Permission::Refuse { .. } | Permission::Trial
+        ));
+    }
+}
+
+/// Guards against more trials than one request may have: every process counts those of all.
+#[test]
+fn trials_of_one_process_count_at_others() {
+    let mut rng = ChaCha8Rng::seed_from_u64(19);
+    let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
+    for suspects in [&mut first, &mut second] {
+        suspects.merge(&sender_of(1), &[told(&[1, 2, 3], 0, false)], Millis(1_000));
+    }
+    assert_eq!(permission(&second, POISON, 31_000), Permission::Trial);
+    first.begin_trial(POISON, 1, Millis(31_000));
+    let sent = first.suspects_to_send(false, &mut rng, Millis(31_100));
+    second.merge(&sender_of(2), &sent, Millis(31_100));
+    assert!(matches!(permission(&second, POISON, 31_200), Permission::Refuse { .. }));
 }
--- a/crates/mulberry-policy/tests/crash_suspects/verdicts.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/verdicts.rs
@@ -1,14 +1,17 @@
-//! What convicts a request at one process, and what does not.
+//! What convicts a request at one process, and when it may run on trial.
 
 use crate::POISON;
 use crate::SOUND;
+use crate::break_run;
 use crate::complete;
 use crate::crash;
-use crate::end_connection;
 use crate::entry_name;
-use crate::sender_of;
-use crate::suspect;
+use crate::permission;
+use crate::told;
+use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::crash_suspects::CrashSuspects;
+use mulberry_policy::crash_suspects::MAX_TRIALS;
+use mulberry_policy::crash_suspects::Permission;
 use mulberry_policy::crash_suspects::SuspectSender;
 use mulberry_protocol::time::Millis;
 
@@ -20,22 +23,36 @@
     Crash { sent: u64, at: u64 },
     /// The same for one and the same endpoint.
     SameCrash { sent: u64, at: u64 },
+    /// The same endpoint only ends the connection.
+    SameEnd { sent: u64, at: u64 },
     /// An endpoint that has not broken before only ends the connection.
     End { sent: u64, at: u64 },
-    /// A peer says at this time that it has seen so many crashes.
-    Report { peer: usize, crashes: u8, at: u64 },
+    /// An endpoint that has not broken before only falls silent.
+    Silence { sent: u64, at: u64 },
+    /// A peer says at this time that it saw these endpoints crash at the other.
+    Report { peer: usize, endpoints: &'static [u32], seen: u64, at: u64 },
     /// A peer says at this time that the request is convicted.
     Conviction { at: u64 },
-    /// A run of the request completes.
+    /// A run of the request completes at this time.
     Completion { at: u64 },
     /// A run of another request of the service completes at this time.
     SoundCompletion { at: u64 },
+    /// The last trial is claimed at this time.
+    LastTrial { at: u64 },
+}
+
+/// Whether the request may run after all steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Expected {
+    Free,
+    Trial,
+    Refused,
 }
 
 struct Case {
     name: &'static str,
     steps: &'static [Step],
-    refused: bool,
+    expected: Expected,
 }
 
 const CASES: &[Case] = &[
@@ -46,78 +63,129 @@
             Step::Crash { sent: 10, at: 20 },
             Step::SoundCompletion { at: 25 },
             Step::Crash { sent: 20, at: 30 },
+            Step::SoundCompletion { at: 40 },
         ],
-        refused: true,
+        expected: Expected::Refused,
     },
     Case {
-        name: "many crashes after the last completion of another request",
+        name: "three crashes while nothing else completes",
         steps: &[
-            Step::SoundCompletion { at: 5 },
             Step::Crash { sent: 0, at: 10 },
             Step::Crash { sent: 10, at: 20 },
             Step::Crash { sent: 20, at: 30 },
-            Step::Crash { sent: 30, at: 40 },
         ],
-        refused: false,
+        expected: Expected::Refused,
+    },
+    Case {
+        name: "three crashes while nothing else completes, until the service works again",
+        steps: &[
+            Step::Crash { sent: 0, at: 10 },
+            Step::Crash { sent: 10, at: 20 },
+            Step::Crash { sent: 20, at: 30 },
+            Step::SoundCompletion { at: 4_000 },
+        ],
+        expected: Expected::Trial,
+    },
+    Case {
+        name: "the same after all trials",
+        steps: &[
+            Step::Crash { sent: 0, at: 10 },
+            Step::Crash { sent: 10, at: 20 },
+            Step::Crash { sent: 20, at: 30 },
+            Step::LastTrial { at: 1_000 },
+            Step::SoundCompletion { at: 4_000 },
+        ],
+        expected: Expected::Refused,
+    },
+    Case {
+        name: "two crashes",
+        steps: &[Step::Crash { sent: 0, at: 10 }, Step::Crash { sent: 10, at: 20 }],
+        expected: Expected::Free,
     },
     // Guards against convicting requests that are often sent, since one endpoint's link was broken.
     Case {
-        name: "one endpoint breaks whatever it is sent",
+        name: "one endpoint breaks whatever it is sent for almost two seconds",
+        steps: &[
+            Step::SameEnd { sent: 0, at: 10 },
+            Step::SameEnd { sent: 20, at: 30 },
+            Step::SameEnd { sent: 500, at: 510 },
+            Step::SameEnd { sent: 1_900, at: 1_910 },
+        ],
+        expected: Expected::Free,
+    },
+    // Guards against missing the crashes of an endpoint that is back soon.
+    Case {
+        name: "one endpoint accepts the request and refuses connections after it, three times",
         steps: &[
             Step::SameCrash { sent: 0, at: 10 },
-            Step::SoundCompletion { at: 15 },
-            Step::SameCrash { sent: 20, at: 30 },
-            Step::SoundCompletion { at: 35 },
-            Step::SameCrash { sent: 40, at: 50 },
-            Step::SoundCompletion { at: 55 },
-            Step::SameCrash { sent: 60, at: 70 },
+            Step::SameCrash { sent: 420, at: 430 },
+            Step::SameCrash { sent: 840, at: 850 },
+            Step::SoundCompletion { at: 860 },
+            Step::LastTrial { at: 870 },
         ],
-        refused: false,
+        expected: Expected::Refused,
     },
     // Guards against convicting requests whose responses were spoilt three times in a row.
     Case {
-        name: "three endpoints end the connection and live on",
+        name: "three endpoints end the connection, and the service lives on",
         steps: &[
             Step::End { sent: 0, at: 10 },
             Step::End { sent: 10, at: 20 },
             Step::SoundCompletion { at: 25 },
             Step::End { sent: 20, at: 30 },
+            Step::SoundCompletion { at: 40 },
         ],
-        refused: false,
+        expected: Expected::Trial,
     },
     Case {
-        name: "six endpoints end the connection and accept others at once",
+        name: "three endpoints end the connection just now",
         steps: &[
-            Step::End { sent: 0, at: 10 },
-            Step::End { sent: 10, at: 20 },
-            Step::End { sent: 20, at: 30 },
-            Step::End { sent: 30, at: 40 },
-            Step::SoundCompletion { at: 45 },
-            Step::End { sent: 50, at: 60 },
-            Step::SoundCompletion { at: 65 },
-            Step::End { sent: 70, at: 80 },
+            Step::End { sent: 3_500, at: 3_510 },
+            Step::End { sent: 3_510, at: 3_520 },
+            Step::End { sent: 3_520, at: 3_530 },
         ],
-        refused: true,
+        expected: Expected::Free,
     },
     Case {
-        name: "several endpoints are lost at the same moment, with copies of the request on each",
+        name: "six endpoints end the connection just now",
         steps: &[
-            Step::Crash { sent: 0, at: 100 },
-            Step::Crash { sent: 5, at: 101 },
-            Step::Crash { sent: 90, at: 101 },
-            Step::Crash { sent: 99, at: 102 },
+            Step::End { sent: 4_500, at: 4_510 },
+            Step::End { sent: 4_510, at: 4_520 },
+            Step::End { sent: 4_520, at: 4_530 },
+            Step::End { sent: 4_530, at: 4_540 },
+            Step::End { sent: 4_550, at: 4_560 },
+            Step::End { sent: 4_570, at: 4_580 },
         ],
-        refused: false,
+        expected: Expected::Refused,
     },
     Case {
-        name: "every process sees the loss at the same moment",
+        name: "three endpoints fall silent",
         steps: &[
-            Step::Crash { sent: 0, at: 100 },
-            Step::Report { peer: 1, crashes: 1, at: 150 },
-            Step::Report { peer: 2, crashes: 1, at: 180 },
-            Step::Report { peer: 3, crashes: 1, at: 200 },
+            Step::Silence { sent: 0, at: 300 },
+            Step::Silence { sent: 300, at: 600 },
+            Step::Silence { sent: 600, at: 900 },
         ],
-        refused: false,
+        expected: Expected::Refused,
+    },
+    Case {
+        name: "copies of the request at one endpoint that crashes",
+        steps: &[
+            Step::SameCrash { sent: 0, at: 100 },
+            Step::SameCrash { sent: 5, at: 101 },
+            Step::SameCrash { sent: 90, at: 101 },
+            Step::SameCrash { sent: 99, at: 102 },
+        ],
+        expected: Expected::Free,
+    },
+    Case {
+        name: "every process tells of the same crash",
+        steps: &[
+            Step::SameCrash { sent: 0, at: 100 },
+            Step::Report { peer: 1, endpoints: &[0], seen: 100, at: 150 },
+            Step::Report { peer: 2, endpoints: &[0], seen: 100, at: 180 },
+            Step::Report { peer: 3, endpoints: &[0], seen: 100, at: 1_200 },
+        ],
+        expected: Expected::Free,
     },
     Case {
         name: "a completed run in between",
@@ -128,69 +196,54 @@
             Step::Crash { sent: 30, at: 40 },
             Step::Crash { sent: 40, at: 50 },
         ],
-        refused: false,
+        expected: Expected::Free,
     },
     Case {
         name: "a report that is repeated counts once",
         steps: &[
-            Step::Report { peer: 1, crashes: 1, at: 0 },
-            Step::Report { peer: 1, crashes: 1, at: 1_000 },
-            Step::Report { peer: 1, crashes: 1, at: 2_000 },
-            Step::SoundCompletion { at: 2_600 },
+            Step::Report { peer: 1, endpoints: &[7], seen: 0, at: 0 },
+            Step::Report { peer: 1, endpoints: &[7], seen: 0, at: 1_000 },
+            Step::Report { peer: 1, endpoints: &[7], seen: 0, at: 2_000 },
             Step::Crash { sent: 2_500, at: 3_000 },
         ],
-        refused: false,
+        expected: Expected::Free,
     },
     Case {
-        name: "one peer alone, whose links may have failed",
-        steps: &[Step::Report { peer: 1, crashes: 9, at: 0 }],
-        refused: false,
+        name: "one peer alone",
+        steps: &[Step::Report { peer: 1, endpoints: &[7, 8, 9], seen: 0, at: 0 }],
+        expected: Expected::Refused,
     },
     Case {
-        name: "one peer, and a crash seen here",
+        name: "two peers, and a crash seen here",
         steps: &[
-            Step::Report { peer: 1, crashes: 3, at: 0 },
-            Step::SoundCompletion { at: 550 },
+            Step::Report { peer: 1, endpoints: &[7], seen: 0, at: 0 },
+            Step::Report { peer: 2, endpoints: &[8], seen: 10, at: 10 },
             Step::Crash { sent: 500, at: 600 },
         ],
-        refused: true,
+        expected: Expected::Refused,
     },
-    // Guards against an item's crashes that the owner before saw 200 ms apart and that counted once.
     Case {
-        name: "one peer's crashes soon after each other, and a crash seen here",
+        name: "three peers, one after the other",
         steps: &[
-            Step::Report { peer: 1, crashes: 1, at: 0 },
-            Step::Report { peer: 1, crashes: 2, at: 100 },
-            Step::SoundCompletion { at: 550 },
-            Step::Crash { sent: 500, at: 600 },
+            Step::Report { peer: 1, endpoints: &[7], seen: 0, at: 0 },
+            Step::Report { peer: 2, endpoints: &[8], seen: 500, at: 500 },
+            Step::Report { peer: 3, endpoints: &[9], seen: 1_000, at: 1_000 },
         ],
-        refused: true,
+        expected: Expected::Refused,
     },
     Case {
-        name: "three peers, one after the other: nobody knows that the service works for others",
-        steps: &[
-            Step::Report { peer: 1, crashes: 1, at: 0 },
-            Step::Report { peer: 2, crashes: 1, at: 500 },
-            Step::Report { peer: 3, crashes: 1, at: 1_000 },
-        ],
-        refused: false,
+        name: "convicted by others",
+        steps: &[Step::Conviction { at: 0 }, Step::LastTrial { at: 10 }],
+        expected: Expected::Refused,
     },
     Case {
-        name: "three peers, and a crash seen here while others complete",
+        name: "convicted by others, who don't know that it has just completed",
         steps: &[
-            Step::Report { peer: 1, crashes: 1, at: 0 },
-            Step::Report { peer: 2, crashes: 1, at: 500 },
-            Step::Report { peer: 3, crashes: 1, at: 1_000 },
-            Step::SoundCompletion { at: 1_250 },
-            Step::Crash { sent: 1_200, at: 1_300 },
+            Step::Report { peer: 1, endpoints: &[7, 8, 9], seen: 0, at: 0 },
+            Step::Completion { at: 1_000 },
+            Step::Conviction { at: 1_100 },
         ],
-        refused: true,
-    },
-    Case { name: "convicted by others", steps: &[Step::Conviction { at: 0 }], refused: true },
-    Case {
-        name: "a run from before completes after the conviction",
-        steps: &[Step::Conviction { at: 0 }, Step::Completion { at: 10 }],
-        refused: true,
+        expected: Expected::Free,
     },
 ];
 
@@ -198,29 +251,49 @@
 const LAST_STEP_MS: u64 = 5_000;
 
 #[test]
-fn crashes_and_reports_that_convict() {
+fn crashes_convict_as_the_table_says() {
     for case in CASES {
         let mut suspects = CrashSuspects::default();
-        for (index, step) in case.steps.iter().enumerate() {
-            let other_endpoint = 100 + index as u64;
+        let mut next_endpoint = 100;
+        for step in case.steps {
+            next_endpoint += 1;
+            let run = (POISON, next_endpoint);
             match *step {
-                Step::Crash { sent, at } => crash(&mut suspects, POISON, other_endpoint, sent, at),
+                Step::Crash { sent, at } => crash(&mut suspects, POISON, next_endpoint, sent, at),
                 Step::SameCrash { sent, at } => crash(&mut suspects, POISON, 0, sent, at),
-                Step::End { sent, at } => end_connection(&mut suspects, other_endpoint, sent, at),
-                Step::Report { peer, crashes, at } => {
-                    let report = suspect(crashes, false);
+                Step::SameEnd { sent, at } => {
+                    break_run(&mut suspects, (POISON, 0), CrashEvidence::Ended, sent, at);
+                }
+                Step::End { sent, at } => {
+                    break_run(&mut suspects, run, CrashEvidence::Ended, sent, at);
+                }
+                Step::Silence { sent, at } => {
+                    break_run(&mut suspects, run, CrashEvidence::Silent, sent, at);
+                }
+                Step::Report { peer, endpoints, seen, at } => {
                     let head =
                         SuspectSender { name: entry_name(peer), incarnation: 1, sequence: at + 1 };
-                    suspects.merge(&head, &[report], Millis(at));
+                    suspects.merge(
+                        &head,
+                        &[told(endpoints, (at - seen) as u32, false)],
+                        Millis(at),
+                    );
                 }
                 Step::Conviction { at } => {
-                    suspects.merge(&sender_of(at + 1), &[suspect(0, true)], Millis(at));
+                    let head =
+                        SuspectSender { name: entry_name(9), incarnation: 1, sequence: at + 1 };
+                    suspects.merge(&head, &[told(&[], 0, true)], Millis(at));
                 }
-                Step::Completion { at } => complete(&mut suspects, POISON, other_endpoint, at),
-                Step::SoundCompletion { at } => complete(&mut suspects, SOUND, other_endpoint, at),
+                Step::Completion { at } => complete(&mut suspects, POISON, next_endpoint, at),
+                Step::SoundCompletion { at } => complete(&mut suspects, SOUND, next_endpoint, at),
+                Step::LastTrial { at } => suspects.begin_trial(POISON, MAX_TRIALS, Millis(at)),
             }
         }
-        let is_refused = suspects.refused_until(POISON, Millis(LAST_STEP_MS)).is_some();
-        assert_eq!(is_refused, case.refused, "{}", case.name);
+        let seen = match permission(&suspects, POISON, LAST_STEP_MS) {
+            Permission::Run => Expected::Free,
+            Permission::Trial => Expected::Trial,
+            Permission::Refuse { .. } => Expected::Refused,
+        };
+        assert_eq!(seen, case.expected, "{}", case.name);
     }
 }
--- a/crates/mulberry-protocol/src/conviction.rs
+++ b/crates/mulberry-protocol/src/conviction.rs
@@ -13,12 +13,20 @@
         pub fingerprint: u64,
         /// Unix time until which it is refused, in seconds.
         pub until_unix_s: u64,
+        /// Runs that were claimed since then; zero in objects of earlier builds.
+        #[serde(default)]
+        pub trials: u8,
     }
 }
 
 impl StoredConviction {
     /// Returns the store key of the object.
     pub fn key(&self) -> String {
-        format!("{CONVICTION_PREFIX}{:016x}", self.fingerprint)
+        Self::key_of(self.fingerprint)
+    }
+
+    /// Returns the store key of the object of a fingerprint.
+    pub fn key_of(fingerprint: u64) -> String {
+        format!("{CONVICTION_PREFIX}{fingerprint:016x}")
     }
 }
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -140,6 +140,10 @@
     CrashNotCounted = 603, "crash not counted";
     /// A run was abandoned, by a timeout or since its caller left, while its endpoint was silent.
     RunUnanswered = 604, "run abandoned at a silent endpoint";
+    /// A run of a convicted request was claimed, or could not be.
+    TrialClaimed = 605, "trial claimed";
+    /// A convicted request has completed and is free again.
+    PoisonCleared = 606, "convicted request cleared";
     /// A request was refused.
     RequestRefused = 700, "request refused";
     /// A request was answered by an endpoint.
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -83,20 +83,64 @@
     }
 }
 
+value_type! {
+    /// A crash of an endpoint under a request, as one process knows it.
+    pub struct SeenCrash {
+        /// The low half of the endpoint's key, as returned by [`crate::endpoint::load_key`].
+        pub endpoint: u32,
+        /// Time since the request was sent there, in milliseconds.
+        pub sent_ms_ago: u32,
+        /// Time since the run broke, in milliseconds.
+        pub broke_ms_ago: u32,
+        /// Whether the endpoint refused connections then.
+        pub is_refused: bool,
+    }
+}
+
+value_type! {
+    /// What the sender of a heartbeat knows of one of its suspects.
+    pub struct SuspectDetail {
+        /// Crashes in a row, the oldest first.
+        pub crashes: Vec<SeenCrash>,
+        /// Whether the service completed another request between two of them.
+        pub is_proven: bool,
+        /// Time since the request last completed somewhere, in milliseconds.
+        pub completed_ms_ago: Option<u32>,
+        /// Runs that were claimed since the request was convicted.
+        pub trials: u8,
+        /// Time since the last of them began, in milliseconds.
+        pub last_trial_ms_ago: Option<u32>,
+    }
+}
+
+/// A heartbeat and what stands behind it in the same datagram, which earlier builds don't read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerDatagram {
+    /// The heartbeat.
+    pub heartbeat: PeerHeartbeat,
+    /// Details of the heartbeat's suspects, in their order. Empty from earlier builds.
+    pub details: Vec<SuspectDetail>,
+}
+
 /// Encodes and signs a heartbeat as a datagram.
-pub fn encode_peer_heartbeat(
-    heartbeat: &PeerHeartbeat,
+pub fn encode_peer_datagram(
+    datagram: &PeerDatagram,
     secrets: &SecretKeyring,
 ) -> Result<Vec<u8>, ProtocolError> {
-    let payload = postcard::to_stdvec(heartbeat)?;
+    let mut payload = postcard::to_stdvec(&datagram.heartbeat)?;
+    if !datagram.details.is_empty() {
+        payload.extend(postcard::to_stdvec(&datagram.details)?);
+    }
     Ok(secrets.sign_datagram(&payload))
 }
 
 /// Verifies and decodes a heartbeat.
-pub fn decode_peer_heartbeat(
+pub fn decode_peer_datagram(
     datagram: &[u8],
     secrets: &SecretKeyring,
-) -> Result<PeerHeartbeat, ProtocolError> {
+) -> Result<PeerDatagram, ProtocolError> {
     let payload = secrets.verify_datagram(datagram)?;
-    Ok(postcard::from_bytes(payload)?)
+    let (heartbeat, rest) = postcard::take_from_bytes(payload)?;
+    let details = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+    Ok(PeerDatagram { heartbeat, details })
 }
