Failed runs of batch items outlast their owner

Cause: an owner counted answers of 500 in memory and wrote only the result at the end; the next owner began anew. Same class as the crashes before: evidence that is lost with the process that had it.

Change: a segment of a job's results also holds the failed runs of its open items, and an item does not run again before its failure is stored. A killed owner loses one answer at the most, the one it had no time to write. Segments of earlier builds have no such field, and these ignore it.

--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -101,7 +101,7 @@
 /// that it can add no further results. Segments that it has written in the meantime are applied
 /// first.
 async fn fence_job(owner: &Owner, id: &JobId, job: &mut JobLog) -> Result<(), PlatformError> {
-    let fence = Segment { results: Vec::new(), ends: false };
+    let fence = Segment::default();
     while !job.is_settled() {
         let key = segment_key(id.as_str(), job.next_segment());
         match owner.store.create(CallClass::Commit, &key, to_json(&fence)?).await? {
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -124,7 +124,9 @@
                     });
                 }
                 ItemPhase::Waiting(at)
-                    if at <= now && may_start(item_permission(owner, route, log, item)) =>
+                    if at <= now
+                        && !item.has_unstored_failure()
+                        && may_start(item_permission(owner, route, log, item)) =>
                 {
                     waiting.push(WaitingItem {
                         last_endpoint: state.last_endpoints.get(&key).copied(),
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -1,12 +1,14 @@
 //! The state of one batch job at its owner: its items, their partial output and its results.
 //!
 //! Results are listed in segments. A segment is written to the store under the next number in the
-//! sequence, and its results count as listed only once the store holds it.
+//! sequence, and its results count as listed only once the store holds it. Segments also hold the
+//! failed runs of items that are not listed, so that the next owner counts on from them.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use mulberry_protocol::batch_job::ItemFailures;
 use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::batch_job::ItemResult;
 use mulberry_protocol::batch_job::JobItem;
@@ -102,6 +104,20 @@
     /// Output of the item's runs so far.
     pub progress: Progress,
     failures: RunFailures,
+    /// Failed runs that the store knows of.
+    stored_failed: u32,
+}
+
+impl ItemState {
+    /// Returns whether the item has failed since its failures were last stored. It must not run again
+    /// before they are: a new owner would not know of them.
+    pub fn has_unstored_failure(&self) -> bool {
+        self.failures.failed > self.stored_failed
+    }
+
+    fn is_open(&self) -> bool {
+        matches!(self.phase, ItemPhase::Waiting(_) | ItemPhase::Running)
+    }
 }
 
 /// One batch job at its owner.
@@ -128,10 +144,11 @@
     ended: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct SegmentWrite {
     results: usize,
     ends: bool,
+    failures: Vec<ItemFailures>,
 }
 
 /// Where a job came from, and its times.
@@ -159,6 +176,7 @@
                 phase: ItemPhase::Waiting(Millis(0)),
                 progress: Progress::default(),
                 failures: RunFailures::default(),
+                stored_failed: 0,
             })
             .collect();
         Self {
@@ -223,8 +241,7 @@
         if self.ended {
             return 0;
         }
-        let open = |s: &&ItemState| matches!(s.phase, ItemPhase::Waiting(_) | ItemPhase::Running);
-        self.items.iter().filter(open).map(|s| s.item.tokens).sum()
+        self.items.iter().filter(|s| s.is_open()).map(|s| s.item.tokens).sum()
     }
 
     /// Records the outcome of an item's run, and queues its result if the item has ended.
@@ -280,7 +297,9 @@
     /// progress or there is nothing to write.
     pub fn begin_segment(&mut self) -> Option<(u32, Segment)> {
         let ends = self.is_ending();
-        if self.write.is_some() || self.pending.is_empty() && !ends {
+        let failures = self.unstored_failures();
+        let is_empty = self.pending.is_empty() && failures.is_empty() && !ends;
+        if self.write.is_some() || is_empty {
             return None;
         }
         let mut bytes = 0;
@@ -289,8 +308,29 @@
             bytes <= MAX_SEGMENT_BYTES
         };
         let count = self.pending.iter().take_while(fits).count().max(1).min(self.pending.len());
-        self.write = Some(SegmentWrite { results: count, ends });
-        Some((self.next_segment, Segment { results: self.pending[..count].to_vec(), ends }))
+        self.write = Some(SegmentWrite { results: count, ends, failures: failures.clone() });
+        let results = self.pending[..count].to_vec();
+        Some((self.next_segment, Segment { results, ends, failures }))
+    }
+
+    /// Returns the failed runs of open items that the store does not know of.
+    fn unstored_failures(&self) -> Vec<ItemFailures> {
+        let unstored = self.items.iter().filter(|s| s.is_open() && s.has_unstored_failure());
+        let failures = unstored.map(|state| ItemFailures {
+            item: state.item.id.clone(),
+            failed: state.failures.failed,
+        });
+        failures.collect()
+    }
+
+    /// Takes over the failed runs that the store knows of.
+    fn record_stored_failures(&mut self, failures: &[ItemFailures]) {
+        for stored in failures {
+            let Some(index) = self.by_id.get(&stored.item) else { continue };
+            let state = &mut self.items[*index];
+            state.stored_failed = state.stored_failed.max(stored.failed);
+            state.failures.failed = state.failures.failed.max(stored.failed);
+        }
     }
 
     /// Records that the segment was written, and lists its results.
@@ -298,6 +338,7 @@
         let Some(write) = self.write.take() else { return };
         let results: Vec<ItemResult> = self.pending.drain(..write.results).collect();
         self.ended |= write.ends;
+        self.record_stored_failures(&write.failures);
         self.list_results(results);
     }
 
@@ -312,6 +353,7 @@
     pub fn adopt_segment(&mut self, segment: Segment) {
         self.write = None;
         self.ended |= segment.ends;
+        self.record_stored_failures(&segment.failures);
         self.pending.retain(|p| !segment.results.iter().any(|r| r.item == p.item));
         self.list_results(segment.results);
     }
@@ -327,8 +369,7 @@
             ended: Some(r.state),
         });
         let started = self.items.iter().filter(|s| s.progress.events > 0);
-        let open = |s: &&ItemState| matches!(s.phase, ItemPhase::Waiting(_) | ItemPhase::Running);
-        let partial = started.filter(open).map(|s| ItemOutput {
+        let partial = started.filter(|s| s.is_open()).map(|s| ItemOutput {
             item: &s.item.id,
             text: &s.progress.text,
             events: s.progress.events,
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -64,7 +64,7 @@
     complete(&mut log, 0, "mine");
     complete(&mut log, 1, "mine");
     log.begin_segment();
-    log.adopt_segment(Segment { results: vec![result("i0", "theirs")], ends: false });
+    log.adopt_segment(Segment { results: vec![result("i0", "theirs")], ..Segment::default() });
     assert_eq!(log.listed(), [result("i0", "theirs")]);
     let (number, segment) = log.begin_segment().unwrap();
     assert_eq!((number, segment.results), (1, vec![result("i1", "mine")]));
@@ -83,7 +83,7 @@
 #[test]
 fn an_empty_segment_takes_a_number_and_lists_nothing() {
     let mut log = job(1);
-    log.adopt_segment(Segment { results: Vec::new(), ends: false });
+    log.adopt_segment(Segment::default());
     assert!(log.listed().is_empty() && !log.is_settled());
     complete(&mut log, 0, "a");
     assert_eq!(log.begin_segment().map(|(n, _)| n), Some(1));
@@ -105,7 +105,7 @@
 #[test]
 fn an_end_stored_by_an_earlier_owner_is_adopted() {
     let mut log = job(2);
-    log.adopt_segment(Segment { results: Vec::new(), ends: true });
+    log.adopt_segment(Segment { ends: true, ..Segment::default() });
     assert!(log.is_ended());
 }
 
@@ -222,3 +222,49 @@
     let given_up: Vec<_> = segment.results.iter().map(|r| (&*r.item, r.state)).collect();
     assert_eq!(given_up, [("i1", ResultState::GivenUp)]);
 }
+
+fn fail(log: &mut JobLog, index: usize) -> ItemDecision {
+    if let Some(item) = log.item_mut(index) {
+        item.phase = ItemPhase::Running;
+    }
+    log.record_run_outcome(index, RunOutcome::Failed, false, 3, Millis(1))
+}
+
+/// Guards against BUDGET: an item that fails at each run started afresh at each next owner.
+#[test]
+fn failed_runs_of_an_item_outlast_its_owner() {
+    let mut stored: Vec<Segment> = Vec::new();
+    let mut runs = 0;
+    for owner in 0..10 {
+        let mut log = job(1);
+        stored.iter().for_each(|segment| log.adopt_segment(segment.clone()));
+        if log.is_settled() {
+            break;
+        }
+        assert!(!log.items()[0].has_unstored_failure());
+        runs += 1;
+        let decision = fail(&mut log, 0);
+        assert!(matches!(decision, ItemDecision::Again(_)) == (runs < 3), "owner {owner}");
+        assert!(log.items()[0].has_unstored_failure());
+        // Each owner dies once it has stored what it knows.
+        stored.extend(log.begin_segment().map(|(_, segment)| segment));
+    }
+    assert_eq!(runs, 3);
+}
+
+/// Guards against running an item again before its failure is stored, and against forgetting one whose
+/// segment was not written.
+#[test]
+fn failure_waits_until_it_is_stored() {
+    let mut log = job(1);
+    fail(&mut log, 0);
+    assert!(log.items()[0].has_unstored_failure());
+    log.begin_segment();
+    log.abandon_segment();
+    let (number, segment) = log.begin_segment().unwrap();
+    assert_eq!((number, segment.failures.len()), (0, 1));
+    assert!(log.items()[0].has_unstored_failure());
+    log.commit_segment();
+    assert!(!log.items()[0].has_unstored_failure());
+    assert!(log.begin_segment().is_none(), "it is stored once");
+}
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -84,6 +84,16 @@
     }
 }
 
+value_type! {
+    /// How often endpoints ran an item that is not listed yet and reported a failure.
+    pub struct ItemFailures {
+        /// Identifier of the item.
+        pub item: Arc<str>,
+        /// Failed runs so far.
+        pub failed: u32,
+    }
+}
+
 value_type! {
     #[derive(Default)]
     /// Results that one write appends to a job's list. An owner that takes over appends an empty
@@ -94,6 +104,9 @@
         pub results: Vec<ItemResult>,
         /// Whether this segment ends the job because the caller asked for that.
         pub ends: bool,
+        /// Items that have failed since the segments before. Empty in segments of earlier builds.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub failures: Vec<ItemFailures>,
     }
 }
 
