Crashes under batch items outlast their owner

Cause: the same class as failed runs: what an owner had counted was gone with it. The conviction was stored up to 0.5 s after the third crash, and the next owner ran the item before it had read it. Peers that had been told did not tell it to processes that started later.

Change: the segments of a job's results hold the crashes in a row under its open items beside the failed runs, and an item does not run again before they are stored; the next owner counts on from them. A run without output whose endpoint is silent for 0.5 s is noted as a crash before it times out, and taken back if it goes on. Every process passes on what it was told in the last 10 s, so that it outlasts who saw it; older convictions are told without their crashes, so that heartbeats stay as small as before. 601 is logged when the third crash is known, not when the conviction takes effect.

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -79,21 +79,27 @@
     }
 
     /// Records that an endpoint ended the connection while it had a request, which was sent at
-    /// `sent_at`. Probes the endpoint to see whether its process has ended.
-    pub async fn record_crash(&self, fingerprint: u64, endpoint: &EndpointRecord, sent_at: Millis) {
+    /// `sent_at`. Probes the endpoint to see whether its process has ended. Returns whether the crash
+    /// counts, as no other break of the same is known.
+    pub async fn record_crash(
+        &self,
+        fingerprint: u64,
+        endpoint: &EndpointRecord,
+        sent_at: Millis,
+    ) -> bool {
         let evidence = probe_after_break(endpoint.address).await;
-        self.record_break(fingerprint, endpoint, sent_at, evidence);
+        self.record_break(fingerprint, endpoint, sent_at, evidence)
     }
 
     /// Records that a run of a request broke, which was sent at `sent_at`, with this evidence of a
-    /// crash.
+    /// crash. Returns whether the crash counts, as no other break of the same is known.
     pub fn record_break(
         &self,
         fingerprint: u64,
         endpoint: &EndpointRecord,
         sent_at: Millis,
         evidence: CrashEvidence,
-    ) {
+    ) -> bool {
         let now = self.clock.now();
         let run = endpoint_run(fingerprint, endpoint, sent_at);
         let recorded = self.crash_suspects().record_crash(run, evidence, now);
@@ -101,7 +107,7 @@
             self.metrics.count("direct.crashes_not_counted");
             log_event!(info, Event::CrashNotCounted, fingerprint = fingerprint_text(fingerprint),
                 endpoint = %endpoint.name, after = ?evidence);
-            return;
+            return false;
         };
         self.metrics.count("direct.crashes_counted");
         log_event!(info, Event::CrashCounted, fingerprint = fingerprint_text(fingerprint),
@@ -109,6 +115,7 @@
         if verdict.newly_convicted {
             self.report_conviction(verdict, None);
         }
+        true
     }
 
     /// Records that an endpoint ran a request, which was sent at `sent_at`, to its end.
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod drain;
 mod handoff;
+mod item_crashes;
 mod lease;
 mod link_server;
 mod load;
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -16,7 +16,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::crash_suspects::MAX_ITEM_TRIALS;
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
@@ -25,7 +24,6 @@
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
-use mulberry_protocol::time::Millis;
 
 use crate::connection::BreakCause;
 use crate::exchange::EndpointRequest;
@@ -34,7 +32,9 @@
 use crate::fingerprint::fingerprint_text;
 use crate::owner::ItemKey;
 use crate::owner::Owner;
-use crate::run_watch::SILENT_AFTER;
+use crate::owner::item_crashes::RunTimes;
+use crate::owner::item_crashes::record_effect;
+use crate::owner::item_crashes::watch_for_silence;
 use crate::sse::SseParser;
 
 /// Time without data from the endpoint after which a run is given up.
@@ -57,11 +57,13 @@
 
 /// Runs an item and records how the run ended.
 pub(crate) async fn run_item(owner: Rc<Owner>, spec: RunSpec) {
-    let (started, sent) = (owner.now(), Instant::now());
+    let times = RunTimes { started: owner.now(), sent: Instant::now() };
+    let started = times.started;
     let events_before = count_events(&owner, &spec);
     let load = owner.shared.begin_load(spec.endpoint.load_key(), LoadClass::Batch);
     let mut broke = None;
-    let (outcome, detail) = match stream_output(&owner, &spec).await {
+    let (streamed, is_noted) = watch_for_silence(&owner, &spec, stream_output(&owner, &spec)).await;
+    let (outcome, detail) = match streamed {
         Ok(outcome) => (outcome, String::new()),
         Err(ExchangeError::Broken { cause, detail }) => {
             owner.shared.metrics.count_reason("direct.endpoint_failures", cause.as_str());
@@ -87,7 +89,8 @@
         _ => owner.shared.record_endpoint_success(&spec.endpoint.name),
     }
     let progressed = count_events(&owner, &spec) > events_before;
-    record_effect(&owner, &spec, outcome, broke.filter(|_| !progressed), (started, sent)).await;
+    let cause = broke.filter(|_| !progressed);
+    let has_crashed = record_effect(&owner, &spec, outcome, cause, times).await;
     if !owner.is_current(spec.generation) {
         return;
     }
@@ -103,6 +106,11 @@
         state.run_time.record(events, now.since(started));
     }
     let Some(log) = state.jobs.get_mut(&spec.key.0) else { return };
+    match (has_crashed, is_noted) {
+        (true, false) => log.record_crash(spec.key.1),
+        (false, true) => log.withdraw_crash(spec.key.1),
+        (true, true) | (false, false) => {}
+    }
     let decision = log.record_run_outcome(spec.key.1, outcome, progressed, spec.max_failed, now);
     drop(state);
     log_event!(info, Event::ItemRunEnded, job = %spec.key.0, item = &*spec.item.id,
@@ -112,35 +120,7 @@
     owner.work.notify_one();
 }
 
-/// Records whether the endpoint crashed under the item or survived it. A run that added output is
-/// not counted as a crash: the next one continues behind that output.
-async fn record_effect(
-    owner: &Owner,
-    spec: &RunSpec,
-    outcome: RunOutcome,
-    break_without_progress: Option<BreakCause>,
-    (started, sent): (Millis, Instant),
-) {
-    let shared = &owner.shared;
-    match outcome {
-        RunOutcome::Completed | RunOutcome::Impossible | RunOutcome::Failed => {
-            shared.record_run_completed(spec.fingerprint, &spec.endpoint, started);
-        }
-        RunOutcome::Broken if break_without_progress == Some(BreakCause::Ended) => {
-            shared.record_crash(spec.fingerprint, &spec.endpoint, started).await;
-        }
-        RunOutcome::Broken
-            if break_without_progress == Some(BreakCause::Silent)
-                && owner.pool.silence_since(spec.endpoint.address, sent) >= SILENT_AFTER =>
-        {
-            let evidence = CrashEvidence::Silent;
-            shared.record_break(spec.fingerprint, &spec.endpoint, started, evidence);
-        }
-        RunOutcome::Broken | RunOutcome::NotRun | RunOutcome::Stopped => {}
-    }
-}
-
-fn count_events(owner: &Owner, spec: &RunSpec) -> u32 {
+pub(crate) fn count_events(owner: &Owner, spec: &RunSpec) -> u32 {
     let state = owner.state.borrow();
     let item = state.jobs.get(&spec.key.0).and_then(|log| log.items().get(spec.key.1));
     item.map_or(0, |i| i.progress.events)
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -210,8 +210,7 @@
         shared.record_store_report(&member.name, StoreReport { incarnation, recoveries, version });
         let Some(secrets) = shared.secrets.load_full() else { continue };
         sequence += 1;
-        let owner = claim();
-        let told = suspects_to_send(&shared, owner.is_some());
+        let told = suspects_to_send(&shared);
         let heartbeat = PeerHeartbeat {
             member: member.clone(),
             incarnation,
@@ -219,7 +218,7 @@
             next_ms: MIN_HEARTBEAT_INTERVAL_MS,
             version,
             store_recoveries: recoveries,
-            owner,
+            owner: claim(),
             loads: shared.occupancy().own_loads(),
             suspects: told.iter().map(|t| t.suspect.clone()).collect(),
         };
@@ -238,13 +237,12 @@
     }
 }
 
-/// Returns the suspects for the next heartbeat, and forgets expired ones. The owner of the jobs
-/// `passes_on` what others told.
-fn suspects_to_send(shared: &SharedState, passes_on: bool) -> Vec<ToldSuspect> {
+/// Returns the suspects for the next heartbeat, and forgets expired ones.
+fn suspects_to_send(shared: &SharedState) -> Vec<ToldSuspect> {
     let now = shared.clock.now();
     let mut suspects = shared.crash_suspects();
     suspects.remove_expired(now);
-    suspects.suspects_to_send(passes_on, &mut rand::rng(), now)
+    suspects.suspects_to_send(&mut rand::rng(), now)
 }
 
 /// Returns the addresses that receive this heartbeat, grouped by the interval in milliseconds until
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -81,7 +81,7 @@
     pub fingerprint: u64,
     /// Crashes in a row that are known now.
     pub crashes: usize,
-    /// Whether the request is convicted now and was not before.
+    /// Whether the request is convicted now, or will be without another crash, and was not before.
     pub newly_convicted: bool,
 }
 
@@ -166,12 +166,17 @@
         }
     }
 
+    /// Records that a request crashed endpoints so many times in a row, as an earlier owner stored.
+    pub fn record_stored_crashes(&mut self, fingerprint: u64, crashes: u32, now: Millis) {
+        let record = self.record_mut(fingerprint, now);
+        record.add_stored_crashes(crashes as usize, now);
+    }
+
     /// Records that this process claimed a run of a convicted request, the `number`th one.
     pub fn begin_trial(&mut self, fingerprint: u64, number: u8, now: Millis) {
         let record = self.record_mut(fingerprint, now);
         record.trials = record.trials.max(number);
         record.last_trial_at = Some(now);
-        record.is_observer = true;
         record.changed_at = now;
     }
 
@@ -194,19 +199,18 @@
         let Run { fingerprint, service, .. } = run;
         let service_completed_at = self.completed_at.get(service).copied();
         let record = self.record_mut(fingerprint, now);
-        let was_convicted = record.convicted_until(now).is_some();
+        let was_doomed = record.is_doomed(now);
         let last_crash_at = record.crashes.last().map(|c| c.at);
         if !record.add_crash(Crash::new(run, evidence, now), now) {
             return None;
         }
-        record.is_observer = true;
         record.is_proven |= last_crash_at.is_some_and(|at| service_completed_at > Some(at));
-        let newly_convicted = record.convicted_until(now).is_some() && !was_convicted;
+        let newly_convicted = record.is_doomed(now) && !was_doomed;
         Some(CrashVerdict { fingerprint, crashes: record.crashes.len(), newly_convicted })
     }
 
     /// Records that an endpoint ran the request to its end, which clears a suspect. Returns whether it
-    /// was convicted.
+    /// was convicted, or would have been without another crash.
     pub fn record_completed(&mut self, run: Run<'_>, now: Millis) -> bool {
         let Run { fingerprint, service, .. } = run;
         match self.completed_at.get_mut(service) {
@@ -219,10 +223,9 @@
         if record.crashes.is_empty() && record.conviction.is_none() {
             return false;
         }
-        let was_convicted = record.convicted_until(now).is_some();
+        let was_doomed = record.is_doomed(now);
         record.clear(now, now);
-        record.is_observer = true;
-        was_convicted
+        was_doomed
     }
 
     /// Merges the suspects in a peer's heartbeat, unless a later one was merged before. Returns those
@@ -252,13 +255,13 @@
             return None;
         }
         let record = self.record_mut(suspect.fingerprint, now);
-        let was_convicted = record.convicted_until(now).is_some();
+        let was_doomed = record.is_doomed(now);
         if let Some(detail) = detail {
             if let Some(completed_ms_ago) = detail.completed_ms_ago {
                 record.clear(now - u64::from(completed_ms_ago), now);
             }
             for seen in &detail.crashes {
-                record.add_crash(Crash::from_seen(seen, now), now);
+                record.add_told_crash(Crash::from_seen(seen, now), now);
             }
             record.is_proven |= detail.is_proven && !record.crashes.is_empty();
             record.merge_trials(detail, now);
@@ -266,7 +269,7 @@
         if suspect.confirmed {
             record.tell_conviction(now);
         }
-        let newly_convicted = record.convicted_until(now).is_some() && !was_convicted;
+        let newly_convicted = record.is_doomed(now) && !was_doomed;
         let (fingerprint, crashes) = (suspect.fingerprint, record.crashes.len());
         Some(CrashVerdict { fingerprint, crashes, newly_convicted })
     }
@@ -289,23 +292,14 @@
         self.record_mut(fingerprint, now).conviction = Some(Conviction::Known { until });
     }
 
-    /// Returns what to send to peers with the next heartbeat. A process tells what it observed for as
-    /// long as it is recent, and what it read from the store; one that `passes_on` tells all that it
-    /// knows, for processes that have just started. If there is too much for one heartbeat, recent
-    /// changes of convicted requests and of those that crashed several endpoints go first, and others
-    /// of each kind are drawn for each heartbeat.
-    pub fn suspects_to_send(
-        &self,
-        passes_on: bool,
-        rng: &mut impl Rng,
-        now: Millis,
-    ) -> Vec<ToldSuspect> {
+    /// Returns what to send to peers with the next heartbeat: what this process saw or was told lately,
+    /// so that it outlasts who saw it, and what it read from the store. If there is too much for one
+    /// heartbeat, recent changes of convicted requests and of those that crashed several endpoints go
+    /// first, and others of each kind are drawn for each heartbeat.
+    pub fn suspects_to_send(&self, rng: &mut impl Rng, now: Millis) -> Vec<ToldSuspect> {
         let is_recent = |r: &Record| now.since(r.changed_at) <= SEND_CHANGES_MS;
         let is_known = |r: &Record| r.known_until().is_some_and(|until| until >= now);
-        let is_passed_on = |r: &Record| passes_on && r.crashes.len() >= CRASHES_WITHOUT_RETRY;
-        let is_told = |r: &Record| {
-            is_known(r) || is_passed_on(r) || is_recent(r) && (r.is_observer || passes_on)
-        };
+        let is_told = |r: &Record| is_known(r) || is_recent(r) && r.has_evidence();
         let (urgent, others): (Vec<_>, Vec<_>) =
             self.records.iter().filter(|(_, r)| is_told(r)).partition(|(_, r)| {
                 is_recent(r) && (is_known(r) || r.crashes.len() >= CRASHES_WITHOUT_RETRY)
@@ -362,6 +356,7 @@
 
 fn tell(fingerprint: u64, record: &Record, now: Millis) -> ToldSuspect {
     let crashes = u8::try_from(record.crashes.len()).unwrap_or(u8::MAX);
+    let is_recent = now.since(record.changed_at) <= SEND_CHANGES_MS;
     let suspect = Suspect {
         fingerprint,
         crashes: crashes.saturating_mul(POINTS_PER_CRASH),
@@ -369,5 +364,5 @@
         recent: false,
         confirmed: record.known_until().is_some(),
     };
-    ToldSuspect { suspect, detail: Some(record.to_detail(now)) }
+    ToldSuspect { suspect, detail: Some(record.to_detail(is_recent, now)) }
 }
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -49,8 +49,6 @@
 pub(super) struct Record {
     /// Crashes in a row, the oldest first, from all processes.
     pub(super) crashes: Vec<Crash>,
-    /// Whether this process observed some of them, or completed the request after some.
-    pub(super) is_observer: bool,
     /// Whether the service completed another request between two of them.
     pub(super) is_proven: bool,
     /// When the request last completed somewhere.
@@ -66,7 +64,6 @@
     pub(super) fn new(now: Millis) -> Self {
         Self {
             crashes: Vec::new(),
-            is_observer: false,
             is_proven: false,
             completed_at: None,
             conviction: None,
@@ -90,6 +87,11 @@
         told.max(counted).filter(|until| *until >= now)
     }
 
+    /// Returns whether the request is convicted, or will be without another crash.
+    pub(super) fn is_doomed(&self, now: Millis) -> bool {
+        self.has_convicting_crashes() || self.convicted_until(now).is_some()
+    }
+
     /// Returns whether the known crashes convict the request.
     fn is_convicting(&self, now: Millis) -> bool {
         let Some(last_to_convict) = self.crashes.get(CRASHES_TO_CONVICT - 1) else { return false };
@@ -130,7 +132,6 @@
         }
     }
 
-    /// Returns whether enough crashes are known to convict the request, if not now then soon.
     fn has_convicting_crashes(&self) -> bool {
         self.crashes.len() >= CRASHES_TO_CONVICT
     }
@@ -153,6 +154,25 @@
         true
     }
 
+    /// Adds crashes of which only the number is known, so that there are at least as many.
+    pub(super) fn add_stored_crashes(&mut self, number: usize, now: Millis) {
+        let missing = number.min(MAX_CRASHES).saturating_sub(self.crashes.len());
+        let index = self.crashes.partition_point(|c| c.at <= now);
+        let stored = (0..missing).map(|n| Crash::stored(n, now));
+        self.crashes.splice(index..index, stored);
+        self.changed_at = now;
+    }
+
+    /// Replaces one crash of which only the number is known, if there is any, by one that a peer tells.
+    pub(super) fn add_told_crash(&mut self, crash: Crash, now: Millis) {
+        if !self.add_crash(crash, now) {
+            return;
+        }
+        if let Some(index) = self.crashes.iter().position(|c| c.is_stored()) {
+            self.crashes.remove(index);
+        }
+    }
+
     /// Records that the request completed at this time: what was known of it before is void.
     pub(super) fn clear(&mut self, completed_at: Millis, now: Millis) {
         self.completed_at = self.completed_at.max(Some(completed_at));
@@ -174,8 +194,13 @@
     pub(super) fn tell_conviction(&mut self, now: Millis) {
         let has_just_completed =
             self.completed_at.is_some_and(|at| now.since(at) < STALE_TELLING_MS);
-        if !has_just_completed && self.known_until().is_none() {
-            self.conviction = Some(Conviction::Told { until: now + TOLD_TTL_MS });
+        if has_just_completed || self.known_until().is_some() {
+            return;
+        }
+        self.conviction = Some(Conviction::Told { until: now + TOLD_TTL_MS });
+        if self.crashes.is_empty() {
+            // Its last run is not known. The pause before the next one begins now.
+            self.last_trial_at.get_or_insert(now);
         }
     }
 
@@ -190,9 +215,18 @@
         self.last_trial_at = self.last_trial_at.max(Some(began_at));
     }
 
-    pub(super) fn to_detail(&self, now: Millis) -> SuspectDetail {
+    /// Returns whether there is more to tell than that others told of a conviction.
+    pub(super) fn has_evidence(&self) -> bool {
+        !self.crashes.is_empty() || self.trials > 0 || self.completed_at.is_some()
+    }
+
+    /// Returns what peers are told besides the conviction. That says enough once the crashes are not
+    /// recent any more.
+    pub(super) fn to_detail(&self, with_crashes: bool, now: Millis) -> SuspectDetail {
+        let (first, others) = self.crashes.split_at(self.crashes.len().min(CRASHES_TO_CONVICT));
+        let told = first.iter().chain(others.last()).filter(|_| with_crashes);
         SuspectDetail {
-            crashes: self.crashes.iter().take(MAX_TOLD_CRASHES).map(|c| c.to_seen(now)).collect(),
+            crashes: told.map(|c| c.to_seen(now)).collect(),
             is_proven: self.is_proven,
             completed_ms_ago: self.completed_at.map(|at| ms_ago(at, now)),
             trials: self.trials,
@@ -200,6 +234,3 @@
         }
     }
 }
-
-/// Most crashes of one request that a heartbeat carries.
-const MAX_TOLD_CRASHES: usize = 4;
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -2,12 +2,13 @@
 //!
 //! Results are listed in segments. A segment is written to the store under the next number in the
 //! sequence, and its results count as listed only once the store holds it. Segments also hold the
-//! failed runs of items that are not listed, so that the next owner counts on from them.
+//! unsuccessful runs of items that are not listed, so that the next owner counts on from them.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use mulberry_protocol::batch_job::FailureCounts;
 use mulberry_protocol::batch_job::ItemFailures;
 use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::batch_job::ItemResult;
@@ -104,15 +105,26 @@
     /// Output of the item's runs so far.
     pub progress: Progress,
     failures: RunFailures,
-    /// Failed runs that the store knows of.
-    stored_failed: u32,
+    /// Crashes of endpoints under the item, in a row.
+    crashed: u32,
+    /// Unsuccessful runs that the store knows of.
+    stored: FailureCounts,
 }
 
 impl ItemState {
-    /// Returns whether the item has failed since its failures were last stored. It must not run again
-    /// before they are: a new owner would not know of them.
+    /// Returns whether the item has failed or crashed an endpoint since that was last stored. It must
+    /// not run again before it is: a new owner would not know of it.
     pub fn has_unstored_failure(&self) -> bool {
-        self.failures.failed > self.stored_failed
+        self.failures.failed > self.stored.failed || self.crashed > self.stored.crashed
+    }
+
+    /// Returns how many endpoints crashed in a row under the item, as far as this owner knows.
+    pub fn crashed(&self) -> u32 {
+        self.crashed
+    }
+
+    fn counts(&self) -> FailureCounts {
+        FailureCounts { failed: self.failures.failed, crashed: self.crashed }
     }
 
     fn is_open(&self) -> bool {
@@ -176,7 +188,8 @@
                 phase: ItemPhase::Waiting(Millis(0)),
                 progress: Progress::default(),
                 failures: RunFailures::default(),
-                stored_failed: 0,
+                crashed: 0,
+                stored: FailureCounts::default(),
             })
             .collect();
         Self {
@@ -255,6 +268,9 @@
     ) -> ItemDecision {
         let Some(state) = self.items.get_mut(index) else { return ItemDecision::Again(0) };
         let decision = state.failures.record(outcome, progressed, max_failed);
+        if progressed || outcome == RunOutcome::Failed {
+            state.crashed = 0;
+        }
         if state.phase != ItemPhase::Running {
             return decision;
         }
@@ -313,23 +329,32 @@
         Some((self.next_segment, Segment { results, ends, failures }))
     }
 
-    /// Returns the failed runs of open items that the store does not know of.
+    /// Returns the unsuccessful runs of open items that the store does not know of.
     fn unstored_failures(&self) -> Vec<ItemFailures> {
-        let unstored = self.items.iter().filter(|s| s.is_open() && s.has_unstored_failure());
-        let failures = unstored.map(|state| ItemFailures {
-            item: state.item.id.clone(),
-            failed: state.failures.failed,
-        });
+        let unstored = self.items.iter().filter(|s| s.is_open() && s.counts() != s.stored);
+        let failures = unstored
+            .map(|state| ItemFailures { item: state.item.id.clone(), counts: state.counts() });
         failures.collect()
     }
 
-    /// Takes over the failed runs that the store knows of.
-    fn record_stored_failures(&mut self, failures: &[ItemFailures]) {
+    /// Records what the store knows of unsuccessful runs. `is_adopted` says whether another owner
+    /// stored it.
+    fn record_stored_failures(&mut self, failures: &[ItemFailures], is_adopted: bool) {
         for stored in failures {
             let Some(index) = self.by_id.get(&stored.item) else { continue };
             let state = &mut self.items[*index];
-            state.stored_failed = state.stored_failed.max(stored.failed);
-            state.failures.failed = state.failures.failed.max(stored.failed);
+            state.stored = stored.counts;
+            if is_adopted {
+                state.failures.failed = state.failures.failed.max(stored.counts.failed);
+                state.crashed = stored.counts.crashed;
+            }
+        }
+    }
+
+    /// Records that a run of the item crashed its endpoint, or seems to.
+    pub fn record_crash(&mut self, index: usize) {
+        if let Some(state) = self.items.get_mut(index) {
+            state.crashed += 1;
         }
     }
 
@@ -338,7 +363,7 @@
         let Some(write) = self.write.take() else { return };
         let results: Vec<ItemResult> = self.pending.drain(..write.results).collect();
         self.ended |= write.ends;
-        self.record_stored_failures(&write.failures);
+        self.record_stored_failures(&write.failures, false);
         self.list_results(results);
     }
 
@@ -353,7 +378,7 @@
     pub fn adopt_segment(&mut self, segment: Segment) {
         self.write = None;
         self.ended |= segment.ends;
-        self.record_stored_failures(&segment.failures);
+        self.record_stored_failures(&segment.failures, true);
         self.pending.retain(|p| !segment.results.iter().any(|r| r.item == p.item));
         self.list_results(segment.results);
     }
@@ -410,6 +435,13 @@
         was_running.then_some(index)
     }
 
+    /// Takes back a crash that was recorded too early.
+    pub fn withdraw_crash(&mut self, index: usize) {
+        if let Some(state) = self.items.get_mut(index) {
+            state.crashed = state.crashed.saturating_sub(1);
+        }
+    }
+
     /// Returns the number of the next segment.
     pub fn next_segment(&self) -> u32 {
         self.next_segment
--- a/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
@@ -24,7 +24,7 @@
     }
     for number in 0..100 {
         let now = Millis(number * 100);
-        let sent = sender.suspects_to_send(false, &mut rng, now);
+        let sent = sender.suspects_to_send(&mut rng, now);
         assert!(sent.len() <= 8, "{}", sent.len());
         receiver.merge(&sender_of(number + 1), &sent, now);
     }
@@ -49,10 +49,10 @@
         let now = Millis(hour * 60 * 60 * 1_000);
         // One of the others restarts every hour.
         let mut told = CrashSuspects::default();
-        let sent = first.suspects_to_send(false, &mut rng, now);
+        let sent = first.suspects_to_send(&mut rng, now);
         told.merge(&sender_of(hour + 1), &sent, now);
         assert_eq!(is_free(&told, POISON, now.0), now > Millis(DAY_MS), "hour {hour}");
-        let passed_on = told.suspects_to_send(false, &mut rng, now);
+        let passed_on = told.suspects_to_send(&mut rng, now);
         assert!(passed_on.is_empty(), "who was told of a conviction does not tell it");
     }
 }
@@ -65,10 +65,10 @@
     for round in 0..20 {
         let at = round * 1_000;
         crash(&mut sender, POISON, round, at, at);
-        let sent = sender.suspects_to_send(false, &mut rng, Millis(at + 1));
+        let sent = sender.suspects_to_send(&mut rng, Millis(at + 1));
         receiver.merge(&sender_of(2 * round), &sent, Millis(at + 1));
         complete(&mut sender, POISON, round, at + 2);
-        let sent = sender.suspects_to_send(false, &mut rng, Millis(at + 3));
+        let sent = sender.suspects_to_send(&mut rng, Millis(at + 3));
         receiver.merge(&sender_of(2 * round + 1), &sent, Millis(at + 3));
     }
     assert!(is_free(&receiver, POISON, 20_000));
@@ -84,21 +84,22 @@
     assert!(is_free(&suspects, POISON, 20_000), "two crashes of one endpoint, not four");
 }
 
-/// Guards against a process that has just started and runs the request three times more: the one that
-/// passes on what it was told tells it all.
+/// Guards against a process that has just started and runs the request three times more: the owner
+/// passes on what it was told, and tells of the conviction once it is stored.
 #[test]
 fn process_that_has_just_started_is_told_what_others_saw() {
     let mut rng = ChaCha8Rng::seed_from_u64(17);
-    let mut passing_on = CrashSuspects::default();
-    passing_on.merge(&sender_of(1), &[told(&[1, 2, 3], 0, false)], Millis(1_000));
+    let mut owner = CrashSuspects::default();
+    owner.merge(&sender_of(1), &[told(&[1, 2, 3], 0, false)], Millis(1_000));
     for at in [2_000, 60_000, DAY_MS / 2] {
         let mut started = CrashSuspects::default();
-        let sent = passing_on.suspects_to_send(true, &mut rng, Millis(at));
+        let sent = owner.suspects_to_send(&mut rng, Millis(at));
         started.merge(&sender_of(at), &sent, Millis(at));
-        assert!(matches!(
-            permission(&started, POISON, at),
-            Permission::Refuse { .. } | Permission::Trial
-        ));
+        let seen = permission(&started, POISON, at + 1);
+        assert!(matches!(seen, Permission::Refuse { .. }), "{at}: {seen:?}");
+        for (fingerprint, until) in owner.convictions(Millis(at)) {
+            owner.add_conviction(fingerprint, until, Millis(at));
+        }
     }
 }
 
@@ -112,7 +113,7 @@
     }
     assert_eq!(permission(&second, POISON, 31_000), Permission::Trial);
     first.begin_trial(POISON, 1, Millis(31_000));
-    let sent = first.suspects_to_send(false, &mut rng, Millis(31_100));
+    let sent = first.suspects_to_send(&mut rng, Millis(31_100));
     second.merge(&sender_of(2), &sent, Millis(31_100));
     assert!(matches!(permission(&second, POISON, 31_200), Permission::Refuse { .. }));
 }
--- a/crates/mulberry-policy/tests/crash_suspects/items.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/items.rs
@@ -5,7 +5,9 @@
 use crate::SOUND;
 use crate::complete;
 use crate::crash;
+use crate::sender_of;
 use crate::service;
+use crate::told;
 use mulberry_policy::crash_suspects::CrashSuspects;
 use mulberry_policy::crash_suspects::ItemPermission;
 use mulberry_policy::crash_suspects::MAX_ITEM_TRIALS;
@@ -76,3 +78,18 @@
     });
     assert!(due.is_some_and(|at| at <= 25_000), "its next trial is at {due:?}");
 }
+
+/// Guards against BUDGET: a new owner that knew of crashes only by number ran the item freely, or
+/// counted them again when peers told of them.
+#[test]
+fn stored_crashes_count_once() {
+    let permission = |suspects: &CrashSuspects| {
+        suspects.item_permission(POISON, &service(), Millis(60_000), Millis(9_000))
+    };
+    let mut suspects = CrashSuspects::default();
+    suspects.record_stored_crashes(POISON, 2, Millis(5_000));
+    suspects.merge(&sender_of(1), &[told(&[1, 2], 900, false)], Millis(5_100));
+    assert_eq!(permission(&suspects), ItemPermission::Run, "two crashes, known twice");
+    crash(&mut suspects, POISON, 3, 5_200, 5_210);
+    assert_eq!(permission(&suspects), ItemPermission::Wait, "the third one");
+}
--- a/crates/mulberry-policy/tests/crash_suspects/patterns.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/patterns.rs
@@ -156,7 +156,7 @@
 }
 
 fn exchange_heartbeats(entries: &mut [CrashSuspects], rng: &mut ChaCha8Rng, now: Millis) {
-    let sent: Vec<_> = entries.iter().map(|e| e.suspects_to_send(false, rng, now)).collect();
+    let sent: Vec<_> = entries.iter().map(|e| e.suspects_to_send(rng, now)).collect();
     for (receiver, entry) in entries.iter_mut().enumerate() {
         for (sender, suspects) in sent.iter().enumerate().filter(|(s, _)| *s != receiver) {
             let head = SuspectSender { name: entry_name(sender), incarnation: 1, sequence: now.0 };
--- a/crates/mulberry-policy/tests/crash_suspects/sound.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/sound.rs
@@ -131,19 +131,15 @@
         let at = 1_000 * (endpoint + 1);
         crash(&mut first, SOUND, endpoint, at, at + 10);
     }
-    second.merge(
-        &sender_of(1),
-        &first.suspects_to_send(false, &mut rng, Millis(3_100)),
-        Millis(3_100),
-    );
+    second.merge(&sender_of(1), &first.suspects_to_send(&mut rng, Millis(3_100)), Millis(3_100));
     assert!(!is_free(&first, SOUND, 3_200) && !is_free(&second, SOUND, 3_200));
     complete(&mut second, SOUND, 4, 4_000);
-    let told = second.suspects_to_send(false, &mut rng, Millis(4_100));
+    let told = second.suspects_to_send(&mut rng, Millis(4_100));
     first.merge(&sender_of(1), &told, Millis(4_100));
     assert!(is_free(&first, SOUND, 4_200) && is_free(&second, SOUND, 4_200));
     // What the first one told before is not news.
     crash(&mut first, SOUND, 5, 5_000, 5_010);
-    let told = first.suspects_to_send(false, &mut rng, Millis(5_100));
+    let told = first.suspects_to_send(&mut rng, Millis(5_100));
     second.merge(&sender_of(2), &told, Millis(5_100));
     assert!(is_free(&second, SOUND, 5_200));
 }
@@ -159,7 +155,7 @@
             crash(suspects, SOUND, 0, sent, 100);
         }
     }
-    first.merge(&sender_of(1), &second.suspects_to_send(false, &mut rng, Millis(150)), Millis(150));
+    first.merge(&sender_of(1), &second.suspects_to_send(&mut rng, Millis(150)), Millis(150));
     assert!(is_free(&first, SOUND, 10_000) && is_free(&second, SOUND, 10_000));
 }
 
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -268,3 +268,36 @@
     assert!(!log.items()[0].has_unstored_failure());
     assert!(log.begin_segment().is_none(), "it is stored once");
 }
+
+/// Guards against BUDGET: an item that crashes endpoints started afresh at each next owner.
+#[test]
+fn crashes_under_an_item_outlast_its_owner() {
+    let mut stored: Vec<Segment> = Vec::new();
+    for owner in 0..4 {
+        let mut log = job(1);
+        stored.iter().for_each(|segment| log.adopt_segment(segment.clone()));
+        assert_eq!(log.items()[0].crashed(), owner);
+        log.item_mut(0).unwrap().phase = ItemPhase::Running;
+        log.record_crash(0);
+        log.record_run_outcome(0, RunOutcome::Broken, false, 3, Millis(1));
+        assert!(log.items()[0].has_unstored_failure());
+        stored.extend(log.begin_segment().map(|(_, segment)| segment));
+    }
+}
+
+/// Guards against a conviction by crashes before a run that made progress, which an owner had stored.
+#[test]
+fn progress_voids_stored_crashes() {
+    let mut log = job(1);
+    for progressed in [false, true] {
+        log.item_mut(0).unwrap().phase = ItemPhase::Running;
+        if !progressed {
+            log.record_crash(0);
+        }
+        log.record_run_outcome(0, RunOutcome::Broken, progressed, 3, Millis(1));
+        let (_, segment) = log.begin_segment().unwrap();
+        assert_eq!(segment.failures[0].counts.crashed, u32::from(!progressed));
+        log.commit_segment();
+        assert!(!log.items()[0].has_unstored_failure());
+    }
+}
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -85,12 +85,24 @@
 }
 
 value_type! {
-    /// How often endpoints ran an item that is not listed yet and reported a failure.
+    #[derive(Copy, Eq, Default)]
+    /// Unsuccessful runs of an item.
+    pub struct FailureCounts {
+        /// Runs that their endpoint answered with a failure.
+        pub failed: u32,
+        /// Crashes of endpoints under the item, in a row.
+        #[serde(default)]
+        pub crashed: u32,
+    }
+}
+
+value_type! {
+    /// Unsuccessful runs of an item that is not listed yet.
     pub struct ItemFailures {
         /// Identifier of the item.
         pub item: Arc<str>,
-        /// Failed runs so far.
-        pub failed: u32,
+        /// The runs so far.
+        pub counts: FailureCounts,
     }
 }
 
