--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -14,11 +14,11 @@
 use mulberry_protocol::name::EndpointName;
 use mulberry_protocol::time::Millis;
 
+use crate::choice::EndpointChoice;
 use crate::connection::BreakCause;
 use crate::exchange::ExchangeError;
 use crate::fingerprint::fingerprint_text;
 use crate::relay::CallerRequest;
-use crate::relay::EndpointChoice;
 use crate::relay::OpenStream;
 use crate::relay::Relay;
 use crate::relay::RelayResponse;
