An endpoint that is back and serves others is still seen to have been silent under a run

Found by reading, not seen by callers: a run on a connection that stays silent for good is abandoned seconds later, when its endpoint may be back and serve others; then its last byte was recent, and the crash did not count. The log of when endpoints were heard now remembers the last silence of a second or more.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -29,6 +29,8 @@
 use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_protocol::closed_set;
 
+use crate::silence::SilenceLog;
+
 /// Timeout of opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -53,12 +55,6 @@
 /// Time for which an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
-/// Number of addresses from which old times of their last bytes are dropped.
-const MAX_HEARD_ADDRESSES: usize = 4_096;
-
-/// Age at which the time of an address's last bytes may be dropped.
-const HEARD_TTL: Duration = Duration::from_secs(60);
-
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 
@@ -216,8 +212,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>,
-    /// When each address last sent something on any connection.
-    heard: Rc<RefCell<IndexMap<SocketAddr, Instant>>>,
+    silence: Rc<RefCell<SilenceLog>>,
 }
 
 impl ConnectionPool {
@@ -250,18 +245,13 @@
 
     /// Records that an address has just sent something.
     pub fn record_heard(&self, address: SocketAddr) {
-        let now = Instant::now();
-        let mut heard = self.heard.borrow_mut();
-        if heard.len() >= MAX_HEARD_ADDRESSES && !heard.contains_key(&address) {
-            heard.retain(|_, at| now.duration_since(*at) < HEARD_TTL);
-        }
-        heard.insert(address, now);
+        self.silence.borrow_mut().record_heard(address, Instant::now());
     }
 
-    /// Returns the time since the address last sent something, at most that since `sent`.
+    /// Returns how long the address has been silent since a run was sent there, as far as this thread
+    /// can tell.
     pub fn silence_since(&self, address: SocketAddr, sent: Instant) -> Duration {
-        let heard = self.heard.borrow().get(&address).copied();
-        heard.map_or(sent, |at| at.max(sent)).elapsed()
+        self.silence.borrow().silence(address, sent, Instant::now())
     }
 
     /// Closes every idle connection to an address.
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod run_watch;
 pub mod settings;
 pub mod shared;
+pub mod silence;
 pub mod sse;
 pub mod store_watch;
 pub mod stream_body;
