Old completed runs don't void later convictions, nor do completed runs outlive a stored one

Found by reading the diff; nobody saw it. A heartbeat tells when a request last completed for as long as its record is recent. A peer that had been told of a conviction took a completed run of any age for its refutation, and forgot the trials. And the owner, after it had stored a conviction, took it up although the request had completed meanwhile.

A conviction now has the time from which a process knows it, and only a later completed run voids it; the owner takes it up only if it still holds.

Tests: completed_run_of_before_does_not_void_a_conviction and conviction_that_was_voided_while_it_was_stored_is_not_kept failed before (the second with add_conviction, which the owner called).

--- a/crates/mulberry-direct/src/owner/conviction_store.rs
+++ b/crates/mulberry-direct/src/owner/conviction_store.rs
@@ -95,7 +95,8 @@
         if !stored.contains(&fingerprint) {
             store_conviction(owner, fingerprint, until, now).await?;
             stored.insert(fingerprint);
-            owner.shared.crash_suspects().add_conviction(fingerprint, until, now);
+            let now = owner.now();
+            owner.shared.crash_suspects().confirm_conviction(fingerprint, until, now);
         }
     }
     Ok(())
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -29,7 +29,6 @@
 use mulberry_protocol::time::Millis;
 
 use crate::crash_suspects::crash::Crash;
-use crate::crash_suspects::record::Conviction;
 use crate::crash_suspects::record::Record;
 use crate::crash_suspects::trials::next_item_trial_at;
 use crate::crash_suspects::trials::next_trial_at;
@@ -289,7 +288,15 @@
 
     /// Adds a conviction that is stored and ends at `until`. This process tells its peers from now on.
     pub fn add_conviction(&mut self, fingerprint: u64, until: Millis, now: Millis) {
-        self.record_mut(fingerprint, now).conviction = Some(Conviction::Known { until });
+        self.record_mut(fingerprint, now).store_conviction(until, now);
+    }
+
+    /// Records that a conviction was stored which ends at `until`, unless the request has completed
+    /// meanwhile.
+    pub fn confirm_conviction(&mut self, fingerprint: u64, until: Millis, now: Millis) {
+        if self.live(fingerprint, now).is_some_and(|r| r.convicted_until(now).is_some()) {
+            self.add_conviction(fingerprint, until, now);
+        }
     }
 
     /// Returns what to send to peers with the next heartbeat: what this process saw or was told lately,
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -27,21 +27,22 @@
 /// milliseconds.
 const STALE_TELLING_MS: u64 = 10_000;
 
-/// A conviction that does not follow from the crashes that this process knows.
+/// Where a process has a conviction from that does not follow from the crashes that it knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Conviction {
-    /// This process read it from the store.
-    Known { until: Millis },
-    /// A peer told of it.
-    Told { until: Millis },
+pub(super) enum ConvictionSource {
+    /// The store.
+    Store,
+    /// A peer.
+    Peer,
 }
 
-impl Conviction {
-    pub(super) fn until(self) -> Millis {
-        match self {
-            Conviction::Known { until } | Conviction::Told { until } => until,
-        }
-    }
+/// A conviction that does not follow from the crashes that this process knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Conviction {
+    pub(super) source: ConvictionSource,
+    /// When this process first heard of it.
+    pub(super) since: Millis,
+    pub(super) until: Millis,
 }
 
 /// What is known of one request.
@@ -76,12 +77,12 @@
     pub(super) fn expires_at(&self) -> Millis {
         let ttl_ms = if self.crashes.is_empty() { SUSPECT_TTL_MS } else { CONFIRMED_TTL_MS };
         let known_until = self.changed_at + ttl_ms;
-        self.conviction.map_or(known_until, |c| c.until().max(known_until))
+        self.conviction.map_or(known_until, |c| c.until.max(known_until))
     }
 
     /// Returns until when the request runs only with a claim, or none if it runs freely.
     pub(super) fn convicted_until(&self, now: Millis) -> Option<Millis> {
-        let told = self.conviction.map(Conviction::until);
+        let told = self.conviction.map(|c| c.until);
         let last_crash_at = self.crashes.last().map(|c| c.at).filter(|_| self.is_convicting(now));
         let counted = last_crash_at.map(|at| at + CONFIRMED_TTL_MS);
         told.max(counted).filter(|until| *until >= now)
@@ -126,10 +127,8 @@
 
     /// Returns until when the conviction holds, if this process read it from the store.
     pub(super) fn known_until(&self) -> Option<Millis> {
-        match self.conviction {
-            Some(Conviction::Known { until }) => Some(until),
-            Some(Conviction::Told { .. }) | None => None,
-        }
+        let stored = self.conviction.filter(|c| c.source == ConvictionSource::Store);
+        stored.map(|c| c.until)
     }
 
     fn has_convicting_crashes(&self) -> bool {
@@ -176,17 +175,29 @@
     /// Records that the request completed at this time: what was known of it before is void.
     pub(super) fn clear(&mut self, completed_at: Millis, now: Millis) {
         self.completed_at = self.completed_at.max(Some(completed_at));
-        let is_known_before = self.crashes.iter().any(|c| c.at <= completed_at);
-        let is_tried_before = self.last_trial_at.is_some_and(|at| at <= completed_at);
-        if !is_known_before && !is_tried_before && self.conviction.is_none() {
-            return;
+        let has_crashed = self.crashes.iter().any(|c| c.at <= completed_at);
+        let was_tried = self.last_trial_at.is_some_and(|at| at <= completed_at);
+        let was_convicted = self.conviction.is_some_and(|c| c.since <= completed_at);
+        if has_crashed {
+            self.crashes.retain(|c| c.at > completed_at);
+            self.is_proven = false;
         }
-        self.crashes.retain(|c| c.at > completed_at);
-        self.is_proven = false;
-        self.conviction = None;
-        self.trials = 0;
-        self.last_trial_at = None;
-        self.changed_at = now;
+        if was_tried {
+            self.trials = 0;
+            self.last_trial_at = None;
+        }
+        if was_convicted {
+            self.conviction = None;
+        }
+        if has_crashed || was_tried || was_convicted {
+            self.changed_at = now;
+        }
+    }
+
+    /// Records a conviction that is in the store.
+    pub(super) fn store_conviction(&mut self, until: Millis, now: Millis) {
+        let source = ConvictionSource::Store;
+        self.conviction = Some(Conviction { source, since: now, until });
     }
 
     /// Records that a peer said that the request is convicted. Ignored if it has just completed: the
@@ -197,7 +208,9 @@
         if has_just_completed || self.known_until().is_some() {
             return;
         }
-        self.conviction = Some(Conviction::Told { until: now + TOLD_TTL_MS });
+        let since = self.conviction.map_or(now, |c| c.since);
+        let (source, until) = (ConvictionSource::Peer, now + TOLD_TTL_MS);
+        self.conviction = Some(Conviction { source, since, until });
         if self.crashes.is_empty() {
             // Its last run is not known. The pause before the next one begins now.
             self.last_trial_at.get_or_insert(now);
--- a/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/heartbeats.rs
@@ -117,3 +117,34 @@
     second.merge(&sender_of(2), &sent, Millis(31_100));
     assert!(matches!(permission(&second, POISON, 31_200), Permission::Refuse { .. }));
 }
+
+/// Guards against a conviction that an old completed run voids, of which a peer tells beside new crashes.
+#[test]
+fn completed_run_of_before_does_not_void_a_conviction() {
+    let mut rng = ChaCha8Rng::seed_from_u64(23);
+    let (mut first, mut second) = (CrashSuspects::default(), CrashSuspects::default());
+    crash(&mut first, POISON, 1, 1_000, 1_010);
+    complete(&mut first, POISON, 2, 2_000);
+    second.merge(&sender_of(1), &[told(&[], 0, true)], Millis(60_000));
+    second.begin_trial(POISON, 2, Millis(61_000));
+    crash(&mut first, POISON, 1, 62_000, 62_010);
+    let sent = first.suspects_to_send(&mut rng, Millis(62_100));
+    second.merge(&sender_of(2), &sent, Millis(62_100));
+    assert!(matches!(permission(&second, POISON, 600_000), Permission::Refuse { .. }));
+}
+
+/// Guards against a sound request that its owner goes on refusing, since it completed while its
+/// conviction was being stored.
+#[test]
+fn conviction_that_was_voided_while_it_was_stored_is_not_kept() {
+    let mut suspects = CrashSuspects::default();
+    for endpoint in 0..3 {
+        crash(&mut suspects, POISON, endpoint, 1_000, 1_010);
+    }
+    let convictions = suspects.convictions(Millis(1_100));
+    complete(&mut suspects, POISON, 5, 1_200);
+    for (fingerprint, until) in convictions {
+        suspects.confirm_conviction(fingerprint, until, Millis(1_300));
+    }
+    assert!(is_free(&suspects, POISON, 1_400));
+}
--- a/crates/mulberry-process/src/clock.rs
+++ b/crates/mulberry-process/src/clock.rs
@@ -22,6 +22,9 @@
 /// A clock shared by the threads of a process.
 pub type SharedClock = Arc<dyn Clock>;
 
+/// Time at the start of a process, in milliseconds: a day, since peers tell it of what is as old.
+const START_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Clock of the operating system.
 #[derive(Debug)]
 pub struct SystemClock {
@@ -44,8 +47,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        // Starts at one second so that durations can be subtracted from times soon after the start.
-        Millis(1_000 + self.start.elapsed().as_millis() as u64)
+        Millis(START_MS + self.start.elapsed().as_millis() as u64)
     }
 
     fn unix_s(&self) -> u64 {
