--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -16,6 +16,7 @@
 use mulberry_protocol::heartbeat::EntryHeartbeat;
 use mulberry_protocol::heartbeat::Heartbeat;
 use mulberry_protocol::heartbeat::Presence;
+use mulberry_protocol::heartbeat::Suspect;
 use mulberry_protocol::heartbeat::decode_heartbeat;
 use mulberry_protocol::heartbeat::encode_heartbeat;
 use mulberry_protocol::link::FromOwner;
@@ -25,6 +26,14 @@
 use mulberry_protocol::link::ToSide;
 use mulberry_protocol::link::decode_message;
 use mulberry_protocol::link::encode_message;
+use mulberry_protocol::peer::Member;
+use mulberry_protocol::peer::PeerDatagram;
+use mulberry_protocol::peer::PeerHeartbeat;
+use mulberry_protocol::peer::PeerRole;
+use mulberry_protocol::peer::SeenCrash;
+use mulberry_protocol::peer::SuspectDetail;
+use mulberry_protocol::peer::decode_peer_datagram;
+use mulberry_protocol::peer::encode_peer_datagram;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 
@@ -132,3 +141,45 @@
         }
     }
 }
+
+fn peer_datagram(details: Vec<SuspectDetail>) -> PeerDatagram {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 7_660));
+    let heartbeat = PeerHeartbeat {
+        member: Member { name: "entry-0".into(), role: PeerRole::Entry, address },
+        incarnation: 7,
+        sequence: 1,
+        next_ms: 100,
+        version: 3,
+        store_recoveries: 0,
+        owner: None,
+        loads: Vec::new(),
+        suspects: vec![Suspect { fingerprint: 9, crashes: 4, recent: false, confirmed: true }],
+    };
+    PeerDatagram { heartbeat, details }
+}
+
+/// Guards against builds that can't hear each other during an upgrade: earlier ones send and read a
+/// heartbeat without the details behind it.
+#[test]
+fn earlier_builds_read_heartbeats_with_details_and_send_them_without() {
+    let secrets = keyring("the-secret-of-all-peers");
+    let crash = SeenCrash { endpoint: 5, sent_ms_ago: 300, broke_ms_ago: 0, is_refused: true };
+    let detail = SuspectDetail {
+        crashes: vec![crash],
+        is_proven: true,
+        completed_ms_ago: Some(1),
+        trials: 1,
+        last_trial_ms_ago: Some(2),
+    };
+    for details in [Vec::new(), vec![detail]] {
+        let sent = peer_datagram(details);
+        let datagram = encode_peer_datagram(&sent, &secrets).unwrap();
+        assert_eq!(decode_peer_datagram(&datagram, &secrets).unwrap(), sent);
+        let payload = secrets.verify_datagram(&datagram).unwrap();
+        let read_before: PeerHeartbeat = postcard::from_bytes(payload).unwrap();
+        assert_eq!(read_before, sent.heartbeat);
+    }
+    let payload = postcard::to_stdvec(&peer_datagram(Vec::new()).heartbeat).unwrap();
+    let sent_before = secrets.sign_datagram(&payload);
+    assert!(decode_peer_datagram(&sent_before, &secrets).unwrap().details.is_empty());
+}
