Stored crashes of an item convict it at once at the next owner

Found by reading: the grace that an unclear third crash has counted anew from the moment at which a new owner read the item's crashes, so that it ran freely for two seconds more. Stored crashes are now taken for long past. three_stored_crashes_convict_at_once failed before. Names that were taken for one another are changed: evidence is clear, a completed run voids.

--- a/crates/mulberry-policy/src/crash_suspects/crash.rs
+++ b/crates/mulberry-policy/src/crash_suspects/crash.rs
@@ -62,10 +62,11 @@
         }
     }
 
-    /// Returns the crash at this place among those of which only the number is known.
+    /// Returns the crash at this place among those of which only the number is known. They were sent
+    /// long ago, as far as it matters.
     pub(super) fn stored(place: usize, now: Millis) -> Self {
         let endpoint = FIRST_STORED_ENDPOINT + place as u32;
-        Self { endpoint, sent_at: now, at: now, is_refused: false }
+        Self { endpoint, sent_at: Millis::default(), at: now, is_refused: false }
     }
 
     /// Returns whether only the number of such crashes is known.
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -137,7 +137,7 @@
     /// Close to conviction, that is left to its caller.
     pub fn may_retry(&self, fingerprint: u64, now: Millis) -> bool {
         self.live(fingerprint, now).is_none_or(|r| {
-            r.clear_crashes() < CRASHES_WITHOUT_RETRY
+            r.refused_crashes() < CRASHES_WITHOUT_RETRY
                 && r.crashes.len() < UNCLEAR_CRASHES_WITHOUT_RETRY
                 && r.convicted_until(now).is_none()
         })
@@ -198,13 +198,13 @@
         let Run { fingerprint, service, .. } = run;
         let service_completed_at = self.completed_at.get(service).copied();
         let record = self.record_mut(fingerprint, now);
-        let was_doomed = record.is_doomed(now);
+        let was_convicted = record.will_be_convicted(now);
         let last_crash_at = record.crashes.last().map(|c| c.at);
         if !record.add_crash(Crash::new(run, evidence, now), now) {
             return None;
         }
         record.is_proven |= last_crash_at.is_some_and(|at| service_completed_at > Some(at));
-        let newly_convicted = record.is_doomed(now) && !was_doomed;
+        let newly_convicted = record.will_be_convicted(now) && !was_convicted;
         Some(CrashVerdict { fingerprint, crashes: record.crashes.len(), newly_convicted })
     }
 
@@ -222,9 +222,9 @@
         if record.crashes.is_empty() && record.conviction.is_none() {
             return false;
         }
-        let was_doomed = record.is_doomed(now);
-        record.clear(now, now);
-        was_doomed
+        let was_convicted = record.will_be_convicted(now);
+        record.void_before(now, now);
+        was_convicted
     }
 
     /// Merges the suspects in a peer's heartbeat, unless a later one was merged before. Returns those
@@ -254,10 +254,10 @@
             return None;
         }
         let record = self.record_mut(suspect.fingerprint, now);
-        let was_doomed = record.is_doomed(now);
+        let was_convicted = record.will_be_convicted(now);
         if let Some(detail) = detail {
             if let Some(completed_ms_ago) = detail.completed_ms_ago {
-                record.clear(now - u64::from(completed_ms_ago), now);
+                record.void_before(now - u64::from(completed_ms_ago), now);
             }
             for seen in &detail.crashes {
                 record.add_told_crash(Crash::from_seen(seen, now), now);
@@ -268,7 +268,7 @@
         if suspect.confirmed {
             record.tell_conviction(now);
         }
-        let newly_convicted = record.is_doomed(now) && !was_doomed;
+        let newly_convicted = record.will_be_convicted(now) && !was_convicted;
         let (fingerprint, crashes) = (suspect.fingerprint, record.crashes.len());
         Some(CrashVerdict { fingerprint, crashes, newly_convicted })
     }
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -88,26 +88,26 @@
         told.max(counted).filter(|until| *until >= now)
     }
 
-    /// Returns whether the request is convicted, or will be without another crash.
-    pub(super) fn is_doomed(&self, now: Millis) -> bool {
+    /// Returns whether the request is convicted now, or will be without another crash.
+    pub(super) fn will_be_convicted(&self, now: Millis) -> bool {
         self.has_convicting_crashes() || self.convicted_until(now).is_some()
     }
 
     /// Returns whether the known crashes convict the request.
     fn is_convicting(&self, now: Millis) -> bool {
         let Some(last_to_convict) = self.crashes.get(CRASHES_TO_CONVICT - 1) else { return false };
-        self.is_clear()
+        self.has_clear_evidence()
             || self.crashes.len() >= MAX_UNCLEAR_CRASHES
             || now.since(last_to_convict.sent_at) >= GRACE_MS
     }
 
     /// Returns whether endpoints refused connections often enough after it.
-    fn is_clear(&self) -> bool {
-        self.clear_crashes() >= CRASHES_TO_CONVICT
+    fn has_clear_evidence(&self) -> bool {
+        self.refused_crashes() >= CRASHES_TO_CONVICT
     }
 
     /// Returns after how many of the crashes the endpoint refused connections.
-    pub(super) fn clear_crashes(&self) -> usize {
+    pub(super) fn refused_crashes(&self) -> usize {
         self.crashes.iter().filter(|c| c.is_refused).count()
     }
 
@@ -116,7 +116,7 @@
     pub(super) fn is_likely_cause(&self) -> bool {
         let first = self.crashes.first().map(|c| c.endpoint);
         let has_several = self.crashes.iter().any(|c| Some(c.endpoint) != first);
-        self.is_proven && self.is_clear() && has_several
+        self.is_proven && self.has_clear_evidence() && has_several
     }
 
     /// Returns when the request last ran, as far as is known.
@@ -173,7 +173,7 @@
     }
 
     /// Records that the request completed at this time: what was known of it before is void.
-    pub(super) fn clear(&mut self, completed_at: Millis, now: Millis) {
+    pub(super) fn void_before(&mut self, completed_at: Millis, now: Millis) {
         self.completed_at = self.completed_at.max(Some(completed_at));
         let has_crashed = self.crashes.iter().any(|c| c.at <= completed_at);
         let was_tried = self.last_trial_at.is_some_and(|at| at <= completed_at);
--- a/crates/mulberry-policy/tests/crash_suspects/items.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/items.rs
@@ -93,3 +93,13 @@
     crash(&mut suspects, POISON, 3, 5_200, 5_210);
     assert_eq!(permission(&suspects), ItemPermission::Wait, "the third one");
 }
+
+/// Guards against BUDGET: a new owner ran the item freely for two seconds after it had read that it
+/// had crashed three endpoints.
+#[test]
+fn three_stored_crashes_convict_at_once() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_stored_crashes(POISON, 3, Millis(5_000));
+    let permission = suspects.item_permission(POISON, &service(), Millis(60_000), Millis(5_001));
+    assert_eq!(permission, ItemPermission::Wait);
+}
