Logs say how a stream's body was framed and where its bytes ended

What callers saw: answers that an endpoint's crash had broken off reached them as if complete.

701 and 702 now have framing (length, chunks, connection) and position (start, between-events, within-event). mulberry_policy::stream_end follows a stream by its last three bytes. No decision changes.

--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -13,10 +13,14 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
 
+use mulberry_policy::stream_end::BodyFraming;
+
 use crate::connection::BreakCause;
 use crate::connection::Connection;
 use crate::connection::ConnectionPool;
@@ -77,6 +81,8 @@
     pub status: StatusCode,
     /// Headers without the hop-by-hop ones.
     pub headers: HeaderMap,
+    /// What says where the body ends.
+    pub framing: BodyFraming,
     body: Incoming,
     connection: Option<Connection>,
     address: SocketAddr,
@@ -177,10 +183,12 @@
     let not_run = headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
     let reusable = !has_connection_close(&headers) && head.version == hyper::Version::HTTP_11;
     let keep_alive = parse_keep_alive(&headers);
+    let framing = body_framing(&headers);
     strip_hop_headers(&mut headers);
     let mut response = EndpointResponse {
         status,
         headers,
+        framing,
         body,
         connection: Some(connection),
         address,
@@ -199,6 +207,20 @@
     Ok(response)
 }
 
+fn body_framing(headers: &HeaderMap) -> BodyFraming {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
+    let last_coding = codings.last().and_then(|v| v.rsplit(',').next());
+    if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
+        BodyFraming::Chunks
+    } else if last_coding.is_some() {
+        BodyFraming::Connection
+    } else if headers.contains_key(CONTENT_LENGTH) {
+        BodyFraming::Length
+    } else {
+        BodyFraming::Connection
+    }
+}
+
 /// Largest body that is read from a response whose request did not run, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -9,6 +9,7 @@
 use futures_util::Stream;
 use futures_util::stream::unfold;
 
+use mulberry_policy::stream_end::StreamEnd;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
@@ -31,6 +32,8 @@
     req: CallerRequest,
     open: OpenStream,
     parser: SseParser,
+    /// Where the bytes of the present run end.
+    end: StreamEnd,
     last_event: Option<u64>,
     tried: Vec<EndpointName>,
     events: u64,
@@ -59,6 +62,7 @@
         req,
         open,
         parser: SseParser::default(),
+        end: StreamEnd::default(),
         last_event: None,
         tried: Vec::new(),
         events: 0,
@@ -94,8 +98,9 @@
             let left_ms = self.req.due.since(self.relay.shared.clock.now());
             let reading = self.open.response.next_chunk();
             let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
-            if matches!(read, Ok(Ok(Some(_)))) {
+            if let Ok(Ok(Some(chunk))) = &read {
                 self.open.watch.record_output();
+                self.end.push(chunk);
             }
             match read {
                 Err(_) => return NextChunk::Abort("time-out"),
@@ -140,6 +145,7 @@
         while self.req.route.resumable && self.open.attempts < self.req.route.attempts {
             self.tried.push(self.open.choice.endpoint.name.clone());
             self.parser = SseParser::default();
+            self.end = StreamEnd::default();
             if !self.relay.shared.may_retry_after_break(self.req.fingerprint) {
                 return false;
             }
@@ -185,6 +191,8 @@
             route = &*self.req.route.name,
             endpoint = %choice.endpoint.name,
             parts = self.events,
+            framing = self.open.response.framing.as_str(),
+            position = self.end.position().as_str(),
             fingerprint = fingerprint_text(self.req.fingerprint),
             broke = cause.map_or("", BreakCause::as_str),
             detail
@@ -214,6 +222,8 @@
             in_flight = self.open.choice.in_flight,
             view_age_ms = self.open.choice.view_age_ms,
             parts = self.events,
+            framing = self.open.response.framing.as_str(),
+            position = self.end.position().as_str(),
             left_ms = self.req.due.since(self.relay.shared.clock.now()),
             outcome
         );
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod routing;
 pub mod run_outcome;
 pub mod store_budget;
+pub mod stream_end;
 pub mod subset;
 pub mod suspects;
 pub mod token_bucket;
--- /dev/null
+++ b/crates/mulberry-policy/src/stream_end.rs
@@ -0,0 +1,96 @@
+//! Tells how a stream of events ended: how its body was framed, and whether it ended between events.
+
+use mulberry_protocol::closed_set;
+
+closed_set! {
+    /// What says where the body of a response ends.
+    pub enum BodyFraming {
+        /// Its declared length.
+        Length,
+        /// A last chunk.
+        Chunks,
+        /// Only the end of the connection, which looks the same when the sender crashes.
+        Connection,
+    }
+}
+
+impl BodyFraming {
+    /// Returns the framing's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            BodyFraming::Length => "length",
+            BodyFraming::Chunks => "chunks",
+            BodyFraming::Connection => "connection",
+        }
+    }
+}
+
+closed_set! {
+    /// Where the bytes of an event stream so far end.
+    pub enum StreamPosition {
+        /// Nothing has arrived.
+        Start,
+        /// After the empty line of an event.
+        BetweenEvents,
+        /// Within an event.
+        WithinEvent,
+    }
+}
+
+impl StreamPosition {
+    /// Returns the position's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StreamPosition::Start => "start",
+            StreamPosition::BetweenEvents => "between-events",
+            StreamPosition::WithinEvent => "within-event",
+        }
+    }
+}
+
+/// Number of the last bytes that tell whether an event has just ended: the longest of its ends.
+const TAIL_BYTES: usize = 3;
+
+/// Follows an event stream by its last bytes. Lines end in LF or CRLF.
+///
+/// ```
+/// use mulberry_policy::stream_end::StreamEnd;
+/// use mulberry_policy::stream_end::StreamPosition;
+/// let mut end = StreamEnd::default();
+/// end.push(b"data: a\r\n\r");
+/// assert_eq!(end.position(), StreamPosition::WithinEvent);
+/// end.push(b"\n");
+/// assert_eq!(end.position(), StreamPosition::BetweenEvents);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct StreamEnd {
+    /// The last bytes; a stream begins as if a line had just ended.
+    tail: [u8; TAIL_BYTES],
+    is_started: bool,
+}
+
+impl Default for StreamEnd {
+    fn default() -> Self {
+        Self { tail: [0, 0, b'\n'], is_started: false }
+    }
+}
+
+impl StreamEnd {
+    /// Adds the next bytes of the stream.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.is_started |= !chunk.is_empty();
+        for byte in &chunk[chunk.len().saturating_sub(TAIL_BYTES)..] {
+            self.tail.rotate_left(1);
+            self.tail[TAIL_BYTES - 1] = *byte;
+        }
+    }
+
+    /// Returns where the bytes so far end.
+    pub fn position(&self) -> StreamPosition {
+        match self.tail {
+            _ if !self.is_started => StreamPosition::Start,
+            [_, b'\n', b'\n'] | [b'\n', b'\r', b'\n'] => StreamPosition::BetweenEvents,
+            _ => StreamPosition::WithinEvent,
+        }
+    }
+}
