--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -208,8 +208,8 @@
 }
 
 fn body_framing(headers: &HeaderMap) -> BodyFraming {
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
-    let last_coding = codings.last().and_then(|v| v.rsplit(',').next());
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
+    let last_coding = codings.next_back().and_then(|v| v.rsplit(',').next());
     if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
         BodyFraming::Chunks
     } else if last_coding.is_some() {
