A stream that its endpoint ended within an event, or before the first, is broken off

Cause: an answer may have neither a length nor chunks; then only the end of the connection says where it ends, and a crash ends the connection in the same way. On routes without resumption the relay took every such end for the end of the answer; it looked at partial events on resumable routes only. A stream without any event passed on both. Class: an end that proves nothing is taken for a proof of completeness.

Change: mulberry_policy::stream_end judges each end, by framing and position: within an event it is broken off however it is framed; before the first event it is if nothing but the connection says that it is over. Then the caller's connection is closed without a last chunk, or the stream is resumed where its route allows. Bodies of another media type than an event stream are judged by their framing only, on resumable routes too.

--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -14,12 +14,14 @@
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
 
 use mulberry_policy::stream_end::BodyFraming;
+use mulberry_policy::stream_end::StreamPosition;
 
 use crate::connection::BreakCause;
 use crate::connection::Connection;
@@ -62,9 +64,9 @@
         matches!(self, ExchangeError::Broken { cause: BreakCause::Ended, .. })
     }
 
-    /// Returns the error for a stream that its endpoint ended within an event.
-    pub fn ended_within_event() -> Self {
-        let detail = "the stream ended within an event".to_owned();
+    /// Returns the error for a stream that its endpoint broke off by ending it at this position.
+    pub fn broken_off(position: StreamPosition) -> Self {
+        let detail = format!("the stream ended at position {}", position.as_str());
         Self::Broken { cause: BreakCause::Ended, detail }
     }
 
@@ -116,6 +118,12 @@
         }
     }
 
+    /// Returns whether the body is a stream of events. One that states no type is taken for it.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        content_type.is_none_or(|t| t.trim_start().starts_with(EVENT_STREAM_TYPE))
+    }
+
     /// Reads the whole body. Fails if it is longer than `max_bytes`.
     pub async fn read_all(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         let Some(first) = self.next_chunk().await? else { return Ok(Bytes::new()) };
@@ -138,6 +146,9 @@
     }
 }
 
+/// Media type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// A request that is ready to be sent to an endpoint.
 #[derive(Debug)]
 pub struct EndpointRequest {
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -149,6 +149,7 @@
         body,
         due: started + timeout_ms,
         is_retry,
+        is_continued: req.headers().contains_key(shared.dialect.headers().last_event_id.as_str()),
     };
     let left = Duration::from_millis(caller.due.since(shared.clock.now()));
     let relayed = tokio::time::timeout(left, handler.relay.forward(&caller)).await;
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -20,6 +20,7 @@
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
+use mulberry_policy::stream_end::StreamPosition;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
@@ -155,7 +156,7 @@
         }
     }
     if parser.has_partial_event() {
-        return Err(ExchangeError::ended_within_event());
+        return Err(ExchangeError::broken_off(StreamPosition::WithinEvent));
     }
     Ok(RunOutcome::Completed)
 }
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -73,6 +73,8 @@
     pub due: Millis,
     /// Whether the caller is retrying after a refusal, which raises the queue limit of endpoints.
     pub is_retry: bool,
+    /// Whether the caller has events of an earlier run, behind which this one is to continue.
+    pub is_continued: bool,
 }
 
 impl CallerRequest {
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -10,6 +10,8 @@
 use futures_util::stream::unfold;
 
 use mulberry_policy::stream_end::StreamEnd;
+use mulberry_policy::stream_end::StreamVerdict;
+use mulberry_policy::stream_end::judge_stream_end;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
@@ -104,7 +106,7 @@
             }
             match read {
                 Err(_) => return NextChunk::Abort("time-out"),
-                Ok(Ok(Some(chunk))) if !self.req.route.resumable => {
+                Ok(Ok(Some(chunk))) if !self.is_resumable() => {
                     self.events += 1;
                     return NextChunk::Data(chunk);
                 }
@@ -113,8 +115,7 @@
                         return NextChunk::Data(events);
                     }
                 }
-                Ok(Ok(None)) if !self.parser.has_partial_event() => return NextChunk::End,
-                Ok(Ok(None)) if !self.req.route.resumable => return NextChunk::End,
+                Ok(Ok(None)) if self.is_whole() => return NextChunk::End,
                 Ok(ended) => {
                     self.record_break(ended.err()).await;
                     if !self.resume().await {
@@ -125,6 +126,19 @@
         }
     }
 
+    /// Returns whether events are parsed, so that another endpoint can continue the stream.
+    fn is_resumable(&self) -> bool {
+        self.req.route.resumable && self.open.response.is_event_stream()
+    }
+
+    /// Returns whether the stream, which has ended without an error, is whole.
+    fn is_whole(&self) -> bool {
+        let response = &self.open.response;
+        let is_continued = self.last_event.is_some() || self.req.is_continued;
+        let verdict = judge_stream_end(response.framing, self.end.position(), is_continued);
+        !response.is_event_stream() || verdict == StreamVerdict::Whole
+    }
+
     /// Parses a chunk and returns the complete events in it that the caller has not received yet.
     fn new_events(&mut self, chunk: &Bytes) -> Option<Bytes> {
         let mut new = Vec::new();
@@ -142,7 +156,7 @@
     /// Continues the stream at another endpoint after the last event that was passed on. Returns
     /// false if no endpoint takes it over.
     async fn resume(&mut self) -> bool {
-        while self.req.route.resumable && self.open.attempts < self.req.route.attempts {
+        while self.is_resumable() && self.open.attempts < self.req.route.attempts {
             self.tried.push(self.open.choice.endpoint.name.clone());
             self.parser = SseParser::default();
             self.end = StreamEnd::default();
@@ -169,10 +183,9 @@
         false
     }
 
-    /// Records that the endpoint broke the stream off, with the error or, without one, within an
-    /// event.
+    /// Records that the endpoint broke the stream off, with the error or, without one, by ending it.
     async fn record_break(&mut self, error: Option<ExchangeError>) {
-        let error = error.unwrap_or_else(ExchangeError::ended_within_event);
+        let error = error.unwrap_or_else(|| ExchangeError::broken_off(self.end.position()));
         if error.is_crash() {
             self.open.watch.record_crash().await;
         }
--- a/crates/mulberry-policy/src/stream_end.rs
+++ b/crates/mulberry-policy/src/stream_end.rs
@@ -1,4 +1,5 @@
-//! Tells how a stream of events ended: how its body was framed, and whether it ended between events.
+//! Decides whether a stream of events that has ended is whole, by how its body was framed and whether
+//! it ended between events.
 
 use mulberry_protocol::closed_set;
 
@@ -94,3 +95,29 @@
         }
     }
 }
+
+closed_set! {
+    /// Whether a stream that has ended is whole.
+    pub enum StreamVerdict {
+        /// Nothing says that a part is missing.
+        Whole,
+        /// Its sender broke it off.
+        BrokenOff,
+    }
+}
+
+/// Decides whether a stream that ended without an error is whole. `is_continued` says whether it was
+/// to continue behind events of an earlier run, after which nothing may be left.
+pub fn judge_stream_end(
+    framing: BodyFraming,
+    position: StreamPosition,
+    is_continued: bool,
+) -> StreamVerdict {
+    match (position, framing) {
+        (StreamPosition::WithinEvent, _) => StreamVerdict::BrokenOff,
+        (StreamPosition::Start, BodyFraming::Connection) if !is_continued => {
+            StreamVerdict::BrokenOff
+        }
+        (StreamPosition::Start | StreamPosition::BetweenEvents, _) => StreamVerdict::Whole,
+    }
+}
--- a/crates/mulberry-policy/tests/stream_end.rs
+++ b/crates/mulberry-policy/tests/stream_end.rs
@@ -1,7 +1,10 @@
-//! Where an event stream ends, by its bytes in chunks of any size.
+//! Where an event stream ends, by its bytes in chunks of any size, and whether it is whole.
 
+use mulberry_policy::stream_end::BodyFraming;
 use mulberry_policy::stream_end::StreamEnd;
 use mulberry_policy::stream_end::StreamPosition;
+use mulberry_policy::stream_end::StreamVerdict;
+use mulberry_policy::stream_end::judge_stream_end;
 
 struct Ending {
     name: &'static str,
@@ -40,3 +43,64 @@
         }
     }
 }
+
+struct EndCase {
+    name: &'static str,
+    framing: BodyFraming,
+    position: StreamPosition,
+    is_continued: bool,
+    verdict: StreamVerdict,
+}
+
+const END_CASES: &[EndCase] = &[
+    EndCase {
+        name: "the connection ends within an event",
+        framing: BodyFraming::Connection,
+        position: StreamPosition::WithinEvent,
+        is_continued: false,
+        verdict: StreamVerdict::BrokenOff,
+    },
+    EndCase {
+        name: "the last chunk ends within an event",
+        framing: BodyFraming::Chunks,
+        position: StreamPosition::WithinEvent,
+        is_continued: true,
+        verdict: StreamVerdict::BrokenOff,
+    },
+    EndCase {
+        name: "the connection ends before the first event",
+        framing: BodyFraming::Connection,
+        position: StreamPosition::Start,
+        is_continued: false,
+        verdict: StreamVerdict::BrokenOff,
+    },
+    EndCase {
+        name: "nothing was left behind the last event",
+        framing: BodyFraming::Connection,
+        position: StreamPosition::Start,
+        is_continued: true,
+        verdict: StreamVerdict::Whole,
+    },
+    EndCase {
+        name: "a stream without events that says so",
+        framing: BodyFraming::Chunks,
+        position: StreamPosition::Start,
+        is_continued: false,
+        verdict: StreamVerdict::Whole,
+    },
+    EndCase {
+        name: "the connection ends between events",
+        framing: BodyFraming::Connection,
+        position: StreamPosition::BetweenEvents,
+        is_continued: false,
+        verdict: StreamVerdict::Whole,
+    },
+];
+
+#[test]
+fn stream_is_whole_unless_its_end_says_otherwise() {
+    for case in END_CASES {
+        let verdict = judge_stream_end(case.framing, case.position, case.is_continued);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
