An item whose endpoint ended the connection before the first event isn't completed

Items are now judged by the same rule as online streams, stream_end; SseParser no longer has one of its own.

--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -20,7 +20,9 @@
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
-use mulberry_policy::stream_end::StreamPosition;
+use mulberry_policy::stream_end::StreamEnd;
+use mulberry_policy::stream_end::StreamVerdict;
+use mulberry_policy::stream_end::judge_stream_end;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
@@ -144,7 +146,9 @@
         }
     }
     let mut parser = SseParser::default();
+    let mut end = StreamEnd::default();
     while let Some(chunk) = with_read_timeout(response.next_chunk()).await? {
+        end.push(&chunk);
         let events = parser.push(&chunk);
         let mut state = owner.state.borrow_mut();
         let log = state.jobs.get_mut(&spec.key.0);
@@ -155,10 +159,10 @@
             append_event(&mut item.progress, &event)?;
         }
     }
-    if parser.has_partial_event() {
-        return Err(ExchangeError::broken_off(StreamPosition::WithinEvent));
+    match judge_stream_end(response.framing, end.position(), spec.last_event.is_some()) {
+        StreamVerdict::Whole => Ok(RunOutcome::Completed),
+        StreamVerdict::BrokenOff => Err(ExchangeError::broken_off(end.position())),
     }
-    Ok(RunOutcome::Completed)
 }
 
 fn append_event(
--- a/crates/mulberry-direct/src/sse.rs
+++ b/crates/mulberry-direct/src/sse.rs
@@ -40,11 +40,6 @@
         }
         events
     }
-
-    /// Returns whether the chunks so far end within an event.
-    pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
-    }
 }
 
 /// Returns the position after the empty line that ends the first event, or `None` if that event is
