Logs name the software version of endpoints and the stream that a caller takes up

What callers saw: streams with events of two software versions.

Endpoint records now carry the software version; 701, 702, 415 and the line of an endpoint's change name it, and 701 names the resumed request. No decision changes.

--- a/crates/mulberry-direct/src/dialect.rs
+++ b/crates/mulberry-direct/src/dialect.rs
@@ -34,6 +34,8 @@
     pub deadline_ms: HeaderName,
     /// Number of the last stream event that the caller has received.
     pub last_event_id: HeaderName,
+    /// ID of the request that brought the first event of the stream which the caller takes up.
+    pub resumes: HeaderName,
     /// Name of the endpoint that the request is meant for.
     pub expected_endpoint: HeaderName,
     /// Marks a response whose request did not run.
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -149,6 +149,7 @@
         body,
         due: started + timeout_ms,
         is_retry,
+        resumes: text_header(req, &shared.dialect.headers().resumes),
         is_continued: req.headers().contains_key(shared.dialect.headers().last_event_id.as_str()),
     };
     let left = Duration::from_millis(caller.due.since(shared.clock.now()));
@@ -384,6 +385,10 @@
     (number >= 0.0).then_some(number as u64)
 }
 
+fn text_header(req: &HttpRequest, name: &HeaderName) -> Option<Arc<str>> {
+    req.headers().get(name.as_str())?.to_str().ok().map(Arc::from)
+}
+
 fn request_id(req: &HttpRequest, name: &HeaderName) -> HeaderValue {
     let given = req.headers().get(name.as_str());
     let given = given.and_then(|v| HeaderValue::from_bytes(v.as_bytes()).ok());
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -73,6 +73,8 @@
     pub due: Millis,
     /// Whether the caller is retrying after a refusal, which raises the queue limit of endpoints.
     pub is_retry: bool,
+    /// ID of the request that brought the first event of the stream which the caller takes up.
+    pub resumes: Option<Arc<str>>,
     /// Whether the caller has events of an earlier run, behind which this one is to continue.
     pub is_continued: bool,
 }
@@ -380,6 +382,7 @@
             route = &*req.route.name,
             version = req.version,
             endpoint = %endpoint.name,
+            software = %endpoint.software,
             reason = refusal.reason.as_str(),
             run = refusal.run.as_str(),
             detail = refusal.detail,
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -274,7 +274,7 @@
         let old = before.get(name);
         if old.is_none_or(|o| o.state != endpoint.state || o.address != endpoint.address) {
             log_event!(info, Event::EndpointChanged, endpoint = %name, service = %endpoint.service,
-                state = ?endpoint.state, address = %endpoint.address);
+                software = %endpoint.software, state = ?endpoint.state, address = %endpoint.address);
         }
     }
     for name in before.keys().filter(|n| !registry.endpoints().contains_key(*n)) {
--- a/crates/mulberry-policy/tests/endpoint_registry.rs
+++ b/crates/mulberry-policy/tests/endpoint_registry.rs
@@ -6,6 +6,7 @@
 use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::name::EndpointName;
 use mulberry_protocol::name::ServiceName;
+use mulberry_protocol::name::SoftwareVersion;
 use mulberry_protocol::name::ZoneName;
 use mulberry_protocol::time::Millis;
 
@@ -14,6 +15,7 @@
         name: EndpointName::new(format!("e{number}")),
         service: ServiceName::new("captions"),
         address: ([127, 0, 0, 1], 9000 + number as u16).into(),
+        software: SoftwareVersion::new("v1"),
         zone: ZoneName::new("a"),
         slots: 8,
         state,
--- a/crates/mulberry-protocol/src/endpoint.rs
+++ b/crates/mulberry-protocol/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::digest::stable_hash;
 use crate::name::EndpointName;
 use crate::name::ServiceName;
+use crate::name::SoftwareVersion;
 use crate::name::ZoneName;
 use crate::value_type;
 
@@ -29,6 +30,8 @@
         pub service: ServiceName,
         /// Address for requests.
         pub address: SocketAddr,
+        /// Version of its software. What two versions write can't be joined.
+        pub software: SoftwareVersion,
         /// Availability zone in which it runs.
         pub zone: ZoneName,
         /// Most requests that it runs at the same time.
--- a/crates/mulberry-protocol/src/name.rs
+++ b/crates/mulberry-protocol/src/name.rs
@@ -65,6 +65,10 @@
     /// Name of a service of a deployment, such as `copywriter`.
     ServiceName
 );
+shared_name!(
+    /// Version of the software that an endpoint runs. Versions have no order.
+    SoftwareVersion
+);
 shared_name!(
     /// Name of an endpoint, which is a back end on its own VM.
     EndpointName
