An item goes on only at the software version that began it, or begins anew

The owner keeps with an item's output what wrote it, once that is certain; copies for the standby and handoffs carry it. The plan places such an item at its version; if none is there, or has had no room for 2 s, or a run behind the output broke, it begins anew anywhere, so that a version that is gone holds nothing up. The test of the import of progress now gives its output an origin, since output without one is no longer imported (output_is_continued_only_by_what_wrote_it). Progress between a build with and one without this isn't read, which costs work only.

--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -1,5 +1,6 @@
 //! Runs one batch item at one endpoint and collects its output.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 use hyper::header::HeaderValue;
 
 use mulberry_policy::crash_suspects::MAX_ITEM_TRIALS;
+use mulberry_policy::endpoint_continuity::certain_in_ms;
+use mulberry_policy::job_log::ItemState;
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
@@ -27,12 +30,15 @@
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
+use mulberry_protocol::time::Millis;
 
 use crate::connection::BreakCause;
 use crate::exchange::EndpointRequest;
 use crate::exchange::ExchangeError;
 use crate::exchange::exchange;
 use crate::fingerprint::fingerprint_text;
+use crate::origins::make_certain;
+use crate::origins::origin_of;
 use crate::owner::ItemKey;
 use crate::owner::Owner;
 use crate::owner::item_crashes::RunTimes;
@@ -56,6 +62,8 @@
     /// Number of failed runs after which the item is given up.
     pub(crate) max_failed: u32,
     pub(crate) generation: u64,
+    /// When it is certain which version runs the item; `None` if that was certain when it was sent.
+    pub(crate) certain_at: Cell<Option<Millis>>,
 }
 
 /// Runs an item and records how the run ended.
@@ -93,6 +101,9 @@
     }
     let progressed = count_events(&owner, &spec) > events_before;
     let cause = broke.filter(|_| !progressed);
+    if outcome == RunOutcome::Broken && progressed {
+        settle_origin(&owner, &spec).await;
+    }
     let has_crashed = record_effect(&owner, &spec, outcome, cause, times).await;
     if !owner.is_current(spec.generation) {
         return;
@@ -134,7 +145,12 @@
         let detail = "no trial of the convicted item could be claimed".to_owned();
         return Err(ExchangeError::NotSent { detail });
     }
-    let request = item_request(owner, spec)?;
+    let mut request = item_request(owner, spec)?;
+    if spec.last_event.is_some() {
+        let certain = make_certain(&owner.shared, &owner.pool, &spec.endpoint).await;
+        let held_ms = certain.map_err(|e| ExchangeError::NotSent { detail: e.detail })?;
+        request.min_held_ms = Some(held_ms);
+    }
     let sending = exchange(&owner.pool, owner.shared.dialect.headers(), request);
     let mut response = with_read_timeout(sending).await?;
     match response.status.as_u16() {
@@ -145,11 +161,15 @@
             return Err(ExchangeError::invalid(format!("unexpected status {status}")));
         }
     }
+    let stale_ms = owner.shared.endpoints_stale_ms();
+    let wait_ms = certain_in_ms(response.held_ms, stale_ms);
+    spec.certain_at.set((wait_ms > 0).then(|| owner.now() + wait_ms));
     let mut parser = SseParser::default();
     let mut end = StreamEnd::default();
     while let Some(chunk) = with_read_timeout(response.next_chunk()).await? {
         end.push(&chunk);
         let events = parser.push(&chunk);
+        let is_certain = is_origin_certain(owner, spec);
         let mut state = owner.state.borrow_mut();
         let log = state.jobs.get_mut(&spec.key.0);
         let Some(item) = log.and_then(|l| l.item_mut(spec.key.1)) else {
@@ -158,6 +178,10 @@
         for event in events {
             append_event(&mut item.progress, &event)?;
         }
+        item.progress.updated_at = owner.now();
+        if item.progress.origin.is_none() && is_certain {
+            item.progress.origin = Some(origin_of(&spec.endpoint));
+        }
     }
     match judge_stream_end(response.framing, end.position(), spec.last_event.is_some()) {
         StreamVerdict::Whole => Ok(RunOutcome::Completed),
@@ -165,6 +189,40 @@
     }
 }
 
+/// Returns whether it is certain that the item's endpoint is the registered one.
+fn is_origin_certain(owner: &Owner, spec: &RunSpec) -> bool {
+    let is_known = spec
+        .certain_at
+        .get()
+        .is_none_or(|at| at <= owner.now() && owner.shared.endpoints_stale_ms() == 0);
+    is_known && owner.shared.is_current_record(&spec.endpoint)
+}
+
+/// Waits until it is certain which version wrote the output of a run that broke, so that the item can
+/// go on behind it.
+async fn settle_origin(owner: &Owner, spec: &RunSpec) {
+    let has_origin = |item: &ItemState| item.progress.origin.is_some();
+    let is_settled = {
+        let state = owner.state.borrow();
+        let item = state.jobs.get(&spec.key.0).and_then(|log| log.items().get(spec.key.1));
+        item.is_none_or(has_origin)
+    };
+    if is_settled {
+        return;
+    }
+    if let Some(at) = spec.certain_at.get() {
+        tokio::time::sleep(Duration::from_millis(at.since(owner.now()))).await;
+    }
+    if !owner.is_current(spec.generation) || !is_origin_certain(owner, spec) {
+        return;
+    }
+    let mut state = owner.state.borrow_mut();
+    let log = state.jobs.get_mut(&spec.key.0);
+    if let Some(item) = log.and_then(|log| log.item_mut(spec.key.1)) {
+        item.progress.origin = Some(origin_of(&spec.endpoint));
+    }
+}
+
 fn append_event(
     progress: &mut Progress,
     event: &crate::sse::SseEvent,
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -1,11 +1,13 @@
 //! Schedules batch items: starts and stops runs according to the free capacity of the endpoints.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use mulberry_policy::batch_share::BatchPlan;
+use mulberry_policy::batch_share::BegunBy;
 use mulberry_policy::batch_share::RunningItem;
 use mulberry_policy::batch_share::SharedEndpoint;
 use mulberry_policy::batch_share::WaitingItem;
@@ -13,6 +15,7 @@
 use mulberry_policy::crash_suspects::ItemPermission;
 use mulberry_policy::job_log::ItemPhase;
 use mulberry_policy::run_outcome::RunOutcome;
+use mulberry_protocol::digest::stable_hash;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::event::Event;
@@ -20,8 +23,10 @@
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::route::Configuration;
 use mulberry_protocol::route::Route;
+use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
+use crate::origins::origin_of;
 use crate::owner::ActiveRun;
 use crate::owner::ItemKey;
 use crate::owner::Owner;
@@ -133,6 +138,10 @@
                         item: key,
                         due_at: log.due_at,
                         left_ms,
+                        begun_by: item.awaited_origin().map(|origin| BegunBy {
+                            version: version_key(origin),
+                            updated_at: item.progress.updated_at,
+                        }),
                     });
                 }
                 ItemPhase::Waiting(_) | ItemPhase::Ended | ItemPhase::Listed => {}
@@ -195,11 +204,18 @@
                 online: all.online,
                 peer_batch: all.batch - occupancy.own_load(key).batch,
                 open: !ejector.is_ejected(&e.name, now),
+                version: version_key(&origin_of(e)),
             }
         })
         .collect()
 }
 
+/// Returns the key of a service and software version for the planner.
+fn version_key(origin: &StreamOrigin) -> u64 {
+    let service = stable_hash(origin.service.as_str().as_bytes(), 0);
+    stable_hash(origin.software.as_str().as_bytes(), service)
+}
+
 fn find_route<'a>(configuration: &'a Configuration, name: &str) -> Option<&'a Route> {
     configuration.route_by_name(name).map(|r| &**r)
 }
@@ -254,6 +270,7 @@
     let host = log.host.clone();
     let Some(item) = log.item_mut(key.1) else { return };
     item.phase = ItemPhase::Running;
+    item.progress.keep_only_of(&origin_of(endpoint));
     let spec = RunSpec {
         key: key.clone(),
         item: item.item.clone(),
@@ -264,6 +281,7 @@
         last_event: item.progress.last_event,
         max_failed,
         generation,
+        certain_at: Cell::new(None),
     };
     let endpoint = endpoint.load_key();
     state.last_endpoints.insert(key.clone(), endpoint);
--- a/crates/mulberry-policy/src/batch_share.rs
+++ b/crates/mulberry-policy/src/batch_share.rs
@@ -21,6 +21,8 @@
     pub peer_batch: u32,
     /// Whether new items may start there.
     pub open: bool,
+    /// Stands for its service and software version.
+    pub version: u64,
 }
 
 /// A batch item that is running.
@@ -47,8 +49,23 @@
     pub left_ms: u64,
     /// Endpoint of its last run. Another endpoint is preferred for the next one.
     pub last_endpoint: Option<u64>,
+    /// The version that began its output, if it has any to continue.
+    pub begun_by: Option<BegunBy>,
 }
 
+/// The version that began an item's output. Another one has to begin anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BegunBy {
+    /// Stands for the service and the software version, as in [`SharedEndpoint::version`].
+    pub version: u64,
+    /// When the last of the output came.
+    pub updated_at: Millis,
+}
+
+/// Time for which an item waits for a slot of the version that began its output, in milliseconds.
+/// After it any endpoint runs the item from the start.
+pub const VERSION_WAIT_MS: u64 = 2_000;
+
 /// Batch items to stop and to start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BatchPlan<K> {
@@ -93,21 +110,38 @@
     by_urgency.sort_by_key(|w| urgency_key(w.due_at, w.left_ms, now));
     let mut starts = Vec::new();
     for item in by_urgency {
-        let best = endpoints.iter().filter(|e| e.open).max_by_key(|e| {
+        let version = awaited_version(item, endpoints, now);
+        let suitable =
+            endpoints.iter().filter(|e| e.open && version.is_none_or(|v| e.version == v));
+        let best = suitable.max_by_key(|e| {
             let free = free_slots.get(&e.key).copied().unwrap_or(0);
             (free, item.last_endpoint != Some(e.key))
         });
-        let Some(best) = best else { break };
-        let free = free_slots.entry(best.key).or_default();
-        if *free <= 0 {
-            break;
+        let free = best.and_then(|best| free_slots.get_mut(&best.key)).filter(|free| **free > 0);
+        match (best, free) {
+            (Some(best), Some(free)) => {
+                *free -= 1;
+                starts.push((item.item.clone(), best.key));
+            }
+            _ if version.is_some() => {}
+            _ => break,
         }
-        *free -= 1;
-        starts.push((item.item.clone(), best.key));
     }
     BatchPlan { stops, starts }
 }
 
+/// Returns the version that a waiting item needs now, or none if any will do.
+fn awaited_version<K>(
+    item: &WaitingItem<K>,
+    endpoints: &[SharedEndpoint],
+    now: Millis,
+) -> Option<u64> {
+    let begun_by = item.begun_by?;
+    let is_there = endpoints.iter().any(|e| e.version == begun_by.version);
+    let is_waited_for = now.since(begun_by.updated_at) < VERSION_WAIT_MS;
+    (is_there && is_waited_for).then_some(begun_by.version)
+}
+
 /// Returns the slots left for batch items, negative if online requests and the batch items of other
 /// processes use more than their part.
 fn free_slots_at(endpoint: &SharedEndpoint) -> i64 {
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -16,6 +16,7 @@
 use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
 use mulberry_protocol::batch_job::ResultState;
 use mulberry_protocol::batch_job::Segment;
+use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
 use crate::run_outcome::ItemDecision;
@@ -44,6 +45,10 @@
     pub events: u32,
     /// Number of the last event.
     pub last_event: Option<u64>,
+    /// What wrote the output, once that is certain. Only the same can continue it.
+    pub origin: Option<StreamOrigin>,
+    /// When the last event came.
+    pub updated_at: Millis,
     /// Rises when the output is replaced by that of other runs instead of being appended to.
     pub generation: u64,
 }
@@ -59,6 +64,8 @@
     pub events: u32,
     /// Number of the last event.
     pub last_event: Option<u64>,
+    /// What wrote the output, as in [`Progress::origin`].
+    pub origin: Option<&'a StreamOrigin>,
     /// Generation of the output, as in [`Progress::generation`].
     pub generation: u64,
     /// How the item ended, if it has.
@@ -69,6 +76,7 @@
     /// Returns an owned copy to send to another process.
     pub fn to_progress(&self) -> ItemProgress {
         ItemProgress {
+            origin: self.origin.cloned(),
             item: self.item.clone(),
             text: self.text.to_owned(),
             events: self.events,
@@ -91,6 +99,13 @@
         self.events += 1;
         self.last_event = Some(number);
     }
+
+    /// Drops the output unless it is certain that `origin` wrote it, which is to continue it.
+    pub fn keep_only_of(&mut self, origin: &StreamOrigin) {
+        if self.origin.as_ref() != Some(origin) {
+            *self = Self { generation: self.generation + 1, ..Self::default() };
+        }
+    }
 }
 
 /// A batch item with its phase and its output so far.
@@ -123,6 +138,12 @@
         self.crashed
     }
 
+    /// Returns what has to continue the output, if it is certain what wrote it and no run behind it has
+    /// broken.
+    pub fn awaited_origin(&self) -> Option<&StreamOrigin> {
+        self.progress.origin.as_ref().filter(|_| self.failures.broken == 0)
+    }
+
     fn counts(&self) -> FailureCounts {
         FailureCounts { failed: self.failures.failed, crashed: self.crashed }
     }
@@ -390,6 +411,7 @@
             text: &r.text,
             events: 0,
             last_event: None,
+            origin: None,
             generation: 0,
             ended: Some(r.state),
         });
@@ -399,6 +421,7 @@
             text: &s.progress.text,
             events: s.progress.events,
             last_event: s.progress.last_event,
+            origin: s.progress.origin.as_ref(),
             generation: s.progress.generation,
             ended: None,
         });
@@ -413,8 +436,8 @@
         let state = &mut self.items[index];
         let was_running = state.phase == ItemPhase::Running;
         let is_open = was_running || matches!(state.phase, ItemPhase::Waiting(_));
-        let is_further =
-            imported.ended.is_some() || imported.last_event > state.progress.last_event;
+        let is_further = imported.ended.is_some()
+            || imported.origin.is_some() && imported.last_event > state.progress.last_event;
         if !is_open || !is_further {
             return None;
         }
@@ -429,6 +452,8 @@
                 text: imported.text,
                 events: imported.events,
                 last_event: imported.last_event,
+                origin: imported.origin,
+                updated_at: now,
                 generation: state.progress.generation + 1,
             };
         }
--- a/crates/mulberry-policy/tests/batch_share.rs
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -1,8 +1,10 @@
 //! Batch items on endpoints that also serve online requests: which start and stop under which load.
 
+use mulberry_policy::batch_share::BegunBy;
 use mulberry_policy::batch_share::RESERVED_SLOTS;
 use mulberry_policy::batch_share::RunningItem;
 use mulberry_policy::batch_share::SharedEndpoint;
+use mulberry_policy::batch_share::VERSION_WAIT_MS;
 use mulberry_policy::batch_share::WaitingItem;
 use mulberry_policy::batch_share::plan_batch;
 use mulberry_policy::occupancy::LoadClass;
@@ -22,7 +24,7 @@
 }
 
 fn endpoint(key: u64, online: u32) -> SharedEndpoint {
-    SharedEndpoint { key, slots: SLOTS, online, peer_batch: 0, open: true }
+    SharedEndpoint { key, slots: SLOTS, online, peer_batch: 0, open: true, version: key % 2 }
 }
 
 fn running(item: u32, endpoint: u64, slack_ms: u64) -> RunningItem<u32> {
@@ -30,7 +32,18 @@
 }
 
 fn waiting(item: u32, slack_ms: u64) -> WaitingItem<u32> {
-    WaitingItem { item, due_at: NOW + (5_000 + slack_ms), left_ms: 5_000, last_endpoint: None }
+    WaitingItem {
+        item,
+        due_at: NOW + (5_000 + slack_ms),
+        left_ms: 5_000,
+        last_endpoint: None,
+        begun_by: None,
+    }
+}
+
+/// An item with output of the version, the last of which came at a time.
+fn begun(item: u32, version: u64, updated_at: Millis) -> WaitingItem<u32> {
+    WaitingItem { begun_by: Some(BegunBy { version, updated_at }), ..waiting(item, 0) }
 }
 
 struct LoadPattern {
@@ -99,6 +112,38 @@
             stops: Vec::new(),
             starts: vec![(0, 2)],
         },
+        LoadPattern {
+            name: "an item with output goes on at its version, though another has more room",
+            endpoints: vec![endpoint(1, 6), endpoint(2, 0)],
+            running: Vec::new(),
+            waiting: vec![begun(0, 1, NOW)],
+            stops: Vec::new(),
+            starts: vec![(0, 1)],
+        },
+        LoadPattern {
+            name: "its version has no room: it waits, and others start",
+            endpoints: vec![endpoint(1, 7), endpoint(2, 0)],
+            running: Vec::new(),
+            waiting: vec![begun(0, 1, NOW), waiting(1, 0)],
+            stops: Vec::new(),
+            starts: vec![(1, 2)],
+        },
+        LoadPattern {
+            name: "its version has had no room for long: it begins anew at another",
+            endpoints: vec![endpoint(1, 7), endpoint(2, 0)],
+            running: Vec::new(),
+            waiting: vec![begun(0, 1, Millis(NOW.0 - VERSION_WAIT_MS))],
+            stops: Vec::new(),
+            starts: vec![(0, 2)],
+        },
+        LoadPattern {
+            name: "its version is gone: it begins anew at once",
+            endpoints: vec![endpoint(2, 0)],
+            running: Vec::new(),
+            waiting: vec![begun(0, 1, NOW)],
+            stops: Vec::new(),
+            starts: vec![(0, 2)],
+        },
         LoadPattern {
             name: "an ejected endpoint gets nothing new",
             endpoints: vec![SharedEndpoint { open: false, ..endpoint(1, 0) }],
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -13,6 +13,7 @@
 use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
 use mulberry_protocol::batch_job::ResultState;
 use mulberry_protocol::batch_job::Segment;
+use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
 fn job(items: usize) -> JobLog {
@@ -174,6 +175,28 @@
     assert_eq!((progress.text.as_str(), progress.events), ("a\nb\nc", 3));
 }
 
+fn origin() -> StreamOrigin {
+    StreamOrigin { service: "captions".into(), software: "v1".into() }
+}
+
+/// Guards against ORDER of issue 23, second matter: output of which it is not certain what wrote it
+/// must not be continued, here or by another owner.
+#[test]
+fn output_is_continued_only_by_what_wrote_it() {
+    let mut before = job(1);
+    before.item_mut(0).unwrap().progress.push(1, "x");
+    let exported: Vec<_> = before.unlisted_outputs().map(|o| o.to_progress()).collect();
+    let mut after = job(1);
+    after.import_progress(exported[0].clone(), Millis(9));
+    assert_eq!(after.items()[0].progress.last_event, None, "its origin is not certain");
+    let progress = &mut before.item_mut(0).unwrap().progress;
+    progress.origin = Some(origin());
+    progress.keep_only_of(&origin());
+    assert_eq!((progress.events, progress.generation), (1, 0));
+    progress.keep_only_of(&StreamOrigin { software: "v2".into(), ..origin() });
+    assert_eq!((progress.events, progress.generation, progress.last_event), (0, 1, None));
+}
+
 #[test]
 fn progress_is_imported_by_the_next_owner_once() {
     let mut before = job(4);
@@ -182,6 +205,7 @@
         if let Some(item) = before.item_mut(index) {
             item.phase = ItemPhase::Running;
             (1..=number).for_each(|n| item.progress.push(n, "x"));
+            item.progress.origin = Some(origin());
         }
     }
     let exported: Vec<_> = before.unlisted_outputs().map(|o| o.to_progress()).collect();
--- a/crates/mulberry-policy/tests/progress_copies.rs
+++ b/crates/mulberry-policy/tests/progress_copies.rs
@@ -106,6 +106,7 @@
             text: item.1,
             events: 1,
             last_event: Some(item.1.len() as u64),
+            origin: None,
             generation: item.2,
             ended: item.3.then_some(ResultState::Completed),
         };
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -11,6 +11,7 @@
 use crate::digest::request_fingerprint;
 use crate::digest::stable_hash;
 use crate::name::JobId;
+use crate::stream_origin::StreamOrigin;
 use crate::value_type;
 
 /// Most bytes of results in one segment, and of items in one part of a job.
@@ -126,6 +127,9 @@
     /// Output of an item that is not listed yet. It is passed to a standby, and to the next owner
     /// after the lease is lost, so that the item continues from there.
     pub struct ItemProgress {
+        /// What wrote the output; absent if that is not certain, or the item has ended. Stands first,
+        /// where builds that don't know it have the item, so that neither reads the other's progress.
+        pub origin: Option<StreamOrigin>,
         /// Identifier of the item.
         pub item: Arc<str>,
         /// Data of the events so far, one per line.
