An item under which endpoints crashed is still owed

Cause: items were convicted of crashing endpoints like online requests: three crashes in a row, then three trials spread over the time for which the item is kept. A burst of crashes convicts whatever ran there. Class: an inference made for one kind of work is applied to another, for which the opposite is promised.

Change: items are neither suspected nor convicted. Segments no longer hold crashes; those that do are read.

--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -61,7 +61,6 @@
                 let open = jobs.values().filter(|j| !j.is_settled()).count();
                 let duration_ms = owner.now().since(started);
                 log_event!(info, Event::JobsLoaded, jobs = jobs.len(), open, span_ms = duration_ms);
-                record_stored_crashes(&owner, &jobs);
                 state.jobs = jobs;
                 import_copies(&mut state, owner.now());
                 state.serving = true;
@@ -77,16 +76,6 @@
     }
 }
 
-/// Tells the suspects which items crashed endpoints while earlier owners ran them.
-fn record_stored_crashes(owner: &Owner, jobs: &IndexMap<JobId, JobLog>) {
-    let now = owner.now();
-    let mut suspects = owner.shared.crash_suspects();
-    let items = jobs.values().filter(|log| !log.is_settled()).flat_map(JobLog::items);
-    for item in items.filter(|item| item.crashed() > 0) {
-        suspects.record_stored_crashes(item.fingerprint, item.crashed(), now);
-    }
-}
-
 /// Waits until the configuration and the endpoints have been listed since the lease was acquired.
 /// What was known before may be out of date.
 async fn wait_for_fresh_watches(owner: &Owner) {
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -5,13 +5,12 @@
 //! the state while it waits for the network.
 
 mod commit;
-mod convicted_items;
 mod conviction_store;
 mod copy;
+mod crashing_items;
 mod dispatch;
 mod drain;
 mod handoff;
-mod item_crashes;
 mod lease;
 mod link_server;
 mod load;
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -17,7 +16,6 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
-use mulberry_policy::crash_suspects::MAX_ITEM_TRIALS;
 use mulberry_policy::endpoint_continuity::certain_in_ms;
 use mulberry_policy::job_log::ItemState;
 use mulberry_policy::job_log::Progress;
@@ -41,9 +39,6 @@
 use crate::origins::origin_of;
 use crate::owner::ItemKey;
 use crate::owner::Owner;
-use crate::owner::item_crashes::RunTimes;
-use crate::owner::item_crashes::record_effect;
-use crate::owner::item_crashes::watch_for_silence;
 use crate::sse::SseParser;
 
 /// Time without data from the endpoint after which a run is given up.
@@ -54,8 +49,6 @@
     pub(crate) key: ItemKey,
     pub(crate) item: Arc<JobItem>,
     pub(crate) fingerprint: u64,
-    /// Whether the item is convicted and runs only if that is claimed.
-    pub(crate) needs_trial: bool,
     pub(crate) host: Arc<str>,
     pub(crate) endpoint: EndpointRecord,
     pub(crate) last_event: Option<u64>,
@@ -68,13 +61,11 @@
 
 /// Runs an item and records how the run ended.
 pub(crate) async fn run_item(owner: Rc<Owner>, spec: RunSpec) {
-    let times = RunTimes { started: owner.now(), sent: Instant::now() };
-    let started = times.started;
+    let started = owner.now();
     let events_before = count_events(&owner, &spec);
     let load = owner.shared.begin_load(spec.endpoint.load_key(), LoadClass::Batch);
     let mut broke = None;
-    let (streamed, is_noted) = watch_for_silence(&owner, &spec, stream_output(&owner, &spec)).await;
-    let (outcome, detail) = match streamed {
+    let (outcome, detail) = match stream_output(&owner, &spec).await {
         Ok(outcome) => (outcome, String::new()),
         Err(ExchangeError::Broken { cause, detail }) => {
             owner.shared.metrics.count_reason("direct.endpoint_failures", cause.as_str());
@@ -100,11 +91,12 @@
         _ => owner.shared.record_endpoint_success(&spec.endpoint.name),
     }
     let progressed = count_events(&owner, &spec) > events_before;
-    let cause = broke.filter(|_| !progressed);
     if outcome == RunOutcome::Broken && progressed {
         settle_origin(&owner, &spec).await;
     }
-    let has_crashed = record_effect(&owner, &spec, outcome, cause, times).await;
+    if matches!(outcome, RunOutcome::Completed | RunOutcome::Impossible | RunOutcome::Failed) {
+        owner.shared.record_run_completed(spec.fingerprint, &spec.endpoint, started);
+    }
     if !owner.is_current(spec.generation) {
         return;
     }
@@ -120,11 +112,6 @@
         state.run_time.record(events, now.since(started));
     }
     let Some(log) = state.jobs.get_mut(&spec.key.0) else { return };
-    match (has_crashed, is_noted) {
-        (true, false) => log.record_crash(spec.key.1),
-        (false, true) => log.withdraw_crash(spec.key.1),
-        (true, true) | (false, false) => {}
-    }
     let decision = log.record_run_outcome(spec.key.1, outcome, progressed, spec.max_failed, now);
     drop(state);
     log_event!(info, Event::ItemRunEnded, job = %spec.key.0, item = &*spec.item.id,
@@ -141,10 +128,6 @@
 }
 
 async fn stream_output(owner: &Owner, spec: &RunSpec) -> Result<RunOutcome, ExchangeError> {
-    if spec.needs_trial && !owner.shared.claim_trial(spec.fingerprint, MAX_ITEM_TRIALS).await {
-        let detail = "no trial of the convicted item could be claimed".to_owned();
-        return Err(ExchangeError::NotSent { detail });
-    }
     let mut request = item_request(owner, spec)?;
     if spec.last_event.is_some() {
         let certain = make_certain(&owner.shared, &owner.pool, &spec.endpoint).await;
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -12,7 +12,6 @@
 use mulberry_policy::batch_share::SharedEndpoint;
 use mulberry_policy::batch_share::WaitingItem;
 use mulberry_policy::batch_share::plan_batch;
-use mulberry_policy::crash_suspects::ItemPermission;
 use mulberry_policy::job_log::ItemPhase;
 use mulberry_policy::run_outcome::RunOutcome;
 use mulberry_protocol::digest::stable_hash;
@@ -31,8 +30,7 @@
 use crate::owner::ItemKey;
 use crate::owner::Owner;
 use crate::owner::OwnerState;
-use crate::owner::convicted_items::give_up_convicted_items;
-use crate::owner::convicted_items::item_permission;
+use crate::owner::crashing_items::give_up_crashing_items;
 use crate::owner::run::RunSpec;
 use crate::owner::run::run_item;
 
@@ -71,7 +69,7 @@
 
 fn schedule_services(owner: &Rc<Owner>, plan_logs: &mut IndexMap<ServiceName, PlanLog>) {
     let Some(configuration) = owner.shared.configuration.load_full() else { return };
-    give_up_convicted_items(owner, &configuration);
+    give_up_crashing_items(owner, &configuration);
     let endpoints = owner.shared.endpoints.load_full();
     for service in batch_services(&configuration) {
         let usable: Vec<&EndpointRecord> = endpoints
@@ -128,11 +126,7 @@
                         left_ms,
                     });
                 }
-                ItemPhase::Waiting(at)
-                    if at <= now
-                        && !item.has_unstored_failure()
-                        && may_start(item_permission(owner, route, log, item)) =>
-                {
+                ItemPhase::Waiting(at) if at <= now && !item.has_unstored_failure() => {
                     waiting.push(WaitingItem {
                         last_endpoint: state.last_endpoints.get(&key).copied(),
                         item: key,
@@ -151,13 +145,6 @@
     BatchWork { running, waiting }
 }
 
-fn may_start(permission: ItemPermission) -> bool {
-    match permission {
-        ItemPermission::Run | ItemPermission::Trial => true,
-        ItemPermission::Wait | ItemPermission::GiveUp => false,
-    }
-}
-
 /// Logs what was planned for a service, once a second while it has items.
 fn log_plan(
     owner: &Owner,
@@ -264,8 +251,6 @@
     let generation = state.generation;
     let Some(log) = state.jobs.get_mut(&key.0) else { return };
     let route = find_route(configuration, &log.route);
-    let permission = route.zip(log.items().get(key.1));
-    let permission = permission.map(|(route, item)| item_permission(owner, route, log, item));
     let max_failed = route.map_or(DEFAULT_MAX_FAILED_RUNS, |r| r.attempts);
     let host = log.host.clone();
     let Some(item) = log.item_mut(key.1) else { return };
@@ -275,7 +260,6 @@
         key: key.clone(),
         item: item.item.clone(),
         fingerprint: item.fingerprint,
-        needs_trial: permission == Some(ItemPermission::Trial),
         host,
         endpoint: endpoint.clone(),
         last_event: item.progress.last_event,
--- a/crates/mulberry-policy/src/crash_suspects/crash.rs
+++ b/crates/mulberry-policy/src/crash_suspects/crash.rs
@@ -12,9 +12,6 @@
 /// Difference between the times that two heartbeats give for the same crash, in milliseconds.
 const SAME_TELLING_MS: u64 = 250;
 
-/// Keys from which on an endpoint stands for one that is not known.
-const FIRST_STORED_ENDPOINT: u32 = u32::MAX - 15;
-
 /// How a run broke, and what its endpoint did then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashEvidence {
@@ -62,18 +59,6 @@
         }
     }
 
-    /// Returns the crash at this place among those of which only the number is known. They were sent
-    /// long ago, as far as it matters.
-    pub(super) fn stored(place: usize, now: Millis) -> Self {
-        let endpoint = FIRST_STORED_ENDPOINT + place as u32;
-        Self { endpoint, sent_at: Millis::default(), at: now, is_refused: false }
-    }
-
-    /// Returns whether only the number of such crashes is known.
-    pub(super) fn is_stored(&self) -> bool {
-        self.endpoint >= FIRST_STORED_ENDPOINT
-    }
-
     /// Returns the crash that a peer has just told of.
     pub(super) fn from_seen(seen: &SeenCrash, now: Millis) -> Self {
         Self {
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -30,14 +30,12 @@
 
 use crate::crash_suspects::crash::Crash;
 use crate::crash_suspects::record::Record;
-use crate::crash_suspects::trials::next_item_trial_at;
 use crate::crash_suspects::trials::next_trial_at;
 use crate::suspects::MAX_RECORDS;
 use crate::suspects::SEND_CHANGES_MS;
 
 pub use crash::CrashEvidence;
 pub use crash::Run;
-pub use trials::MAX_ITEM_TRIALS;
 pub use trials::MAX_TRIALS;
 
 /// Crashes in a row that convict a request.
@@ -98,19 +96,6 @@
     },
 }
 
-/// Whether an item of a batch job may run, given the crashes that it was involved in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ItemPermission {
-    /// The item may run.
-    Run,
-    /// The item may run once if that is claimed.
-    Trial,
-    /// The item may not run now.
-    Wait,
-    /// The item may not run any more, and the time for which it is kept is over.
-    GiveUp,
-}
-
 /// The requests that one process suspects or knows to crash endpoints, by fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
@@ -143,34 +128,6 @@
         })
     }
 
-    /// Returns whether an item of a batch job of the service may run that is kept until `kept_until`.
-    pub fn item_permission(
-        &self,
-        fingerprint: u64,
-        service: &ServiceName,
-        kept_until: Millis,
-        now: Millis,
-    ) -> ItemPermission {
-        let is_convicted = |r: &&Record| r.convicted_until(now).is_some();
-        let Some(record) = self.live(fingerprint, now).filter(is_convicted) else {
-            return ItemPermission::Run;
-        };
-        if now >= kept_until {
-            return ItemPermission::GiveUp;
-        }
-        let service_completed_at = self.completed_at.get(service).copied();
-        match next_item_trial_at(record, service_completed_at, kept_until) {
-            Some(at) if at <= now => ItemPermission::Trial,
-            Some(_) | None => ItemPermission::Wait,
-        }
-    }
-
-    /// Records that a request crashed endpoints so many times in a row, as an earlier owner stored.
-    pub fn record_stored_crashes(&mut self, fingerprint: u64, crashes: u32, now: Millis) {
-        let record = self.record_mut(fingerprint, now);
-        record.add_stored_crashes(crashes as usize, now);
-    }
-
     /// Records that this process claimed a run of a convicted request, the `number`th one.
     pub fn begin_trial(&mut self, fingerprint: u64, number: u8, now: Millis) {
         let record = self.record_mut(fingerprint, now);
@@ -260,7 +217,7 @@
                 record.void_before(now - u64::from(completed_ms_ago), now);
             }
             for seen in &detail.crashes {
-                record.add_told_crash(Crash::from_seen(seen, now), now);
+                record.add_crash(Crash::from_seen(seen, now), now);
             }
             record.is_proven |= detail.is_proven && !record.crashes.is_empty();
             record.merge_trials(detail, now);
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -153,25 +153,6 @@
         true
     }
 
-    /// Adds crashes of which only the number is known, so that there are at least as many.
-    pub(super) fn add_stored_crashes(&mut self, number: usize, now: Millis) {
-        let missing = number.min(MAX_CRASHES).saturating_sub(self.crashes.len());
-        let index = self.crashes.partition_point(|c| c.at <= now);
-        let stored = (0..missing).map(|n| Crash::stored(n, now));
-        self.crashes.splice(index..index, stored);
-        self.changed_at = now;
-    }
-
-    /// Replaces one crash of which only the number is known, if there is any, by one that a peer tells.
-    pub(super) fn add_told_crash(&mut self, crash: Crash, now: Millis) {
-        if !self.add_crash(crash, now) {
-            return;
-        }
-        if let Some(index) = self.crashes.iter().position(|c| c.is_stored()) {
-            self.crashes.remove(index);
-        }
-    }
-
     /// Records that the request completed at this time: what was known of it before is void.
     pub(super) fn void_before(&mut self, completed_at: Millis, now: Millis) {
         self.completed_at = self.completed_at.max(Some(completed_at));
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -120,22 +120,20 @@
     /// Output of the item's runs so far.
     pub progress: Progress,
     failures: RunFailures,
-    /// Crashes of endpoints under the item, in a row.
-    crashed: u32,
     /// Unsuccessful runs that the store knows of.
     stored: FailureCounts,
 }
 
 impl ItemState {
-    /// Returns whether the item has failed or crashed an endpoint since that was last stored. It must
-    /// not run again before it is: a new owner would not know of it.
+    /// Returns whether the item has failed since that was last stored. It must not run again before it
+    /// is: a new owner would not know of it.
     pub fn has_unstored_failure(&self) -> bool {
-        self.failures.failed > self.stored.failed || self.crashed > self.stored.crashed
+        self.failures.failed > self.stored.failed
     }
 
-    /// Returns how many endpoints crashed in a row under the item, as far as this owner knows.
-    pub fn crashed(&self) -> u32 {
-        self.crashed
+    /// Returns how many runs broke in a row without output, as when the endpoint crashes.
+    pub fn broken_runs(&self) -> u32 {
+        self.failures.broken
     }
 
     /// Returns what has to continue the output, if it is certain what wrote it and no run behind it has
@@ -145,7 +143,7 @@
     }
 
     fn counts(&self) -> FailureCounts {
-        FailureCounts { failed: self.failures.failed, crashed: self.crashed }
+        FailureCounts { failed: self.failures.failed }
     }
 
     fn is_open(&self) -> bool {
@@ -209,7 +207,6 @@
                 phase: ItemPhase::Waiting(Millis(0)),
                 progress: Progress::default(),
                 failures: RunFailures::default(),
-                crashed: 0,
                 stored: FailureCounts::default(),
             })
             .collect();
@@ -289,9 +286,6 @@
     ) -> ItemDecision {
         let Some(state) = self.items.get_mut(index) else { return ItemDecision::Again(0) };
         let decision = state.failures.record(outcome, progressed, max_failed);
-        if progressed || outcome == RunOutcome::Failed {
-            state.crashed = 0;
-        }
         if state.phase != ItemPhase::Running {
             return decision;
         }
@@ -367,18 +361,10 @@
             state.stored = stored.counts;
             if is_adopted {
                 state.failures.failed = state.failures.failed.max(stored.counts.failed);
-                state.crashed = stored.counts.crashed;
             }
         }
     }
 
-    /// Records that a run of the item crashed its endpoint, or seems to.
-    pub fn record_crash(&mut self, index: usize) {
-        if let Some(state) = self.items.get_mut(index) {
-            state.crashed += 1;
-        }
-    }
-
     /// Records that the segment was written, and lists its results.
     pub fn commit_segment(&mut self) {
         let Some(write) = self.write.take() else { return };
@@ -460,13 +446,6 @@
         was_running.then_some(index)
     }
 
-    /// Takes back a crash that was recorded too early.
-    pub fn withdraw_crash(&mut self, index: usize) {
-        if let Some(state) = self.items.get_mut(index) {
-            state.crashed = state.crashed.saturating_sub(1);
-        }
-    }
-
     /// Returns the number of the next segment.
     pub fn next_segment(&self) -> u32 {
         self.next_segment
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -91,9 +91,6 @@
     pub struct FailureCounts {
         /// Runs that their endpoint answered with a failure.
         pub failed: u32,
-        /// Crashes of endpoints under the item, in a row.
-        #[serde(default)]
-        pub crashed: u32,
     }
 }
 
