Bytes without end are cut: at the deadline, within an event, in all bodies together

Cause: a stream is read with a timeout of the time that is left; with none left a read that has bytes at hand still succeeds, so that a body which always has more never times out. Nothing bounded an event either: on resumable routes, and for items, the parser kept all its bytes and scanned them anew with each chunk. Class: a limit that applies only while the other end is slow.

Change: a stream ends when its time is over, whatever there is to read. An event of more than 1 MiB is none: the run is broken off and resumed elsewhere where the route allows. The parser looks at each byte once. Bodies that are read whole share 64 MiB on each thread. An item's output is bounded by what a result may hold; one that is longer is dropped and begun anew.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -58,6 +58,9 @@
 /// Time for which an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Most bytes of all bodies that one thread reads whole at the same time, in bytes.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
+
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 
@@ -280,6 +283,30 @@
     idle: Rc<RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>>,
     silence: Rc<RefCell<SilenceLog>>,
     holds: Rc<RefCell<HoldLog>>,
+    /// Bytes of the bodies that are being read whole.
+    buffered: Rc<Cell<usize>>,
+}
+
+/// Counts the bytes of a body that is being read whole, until it is dropped.
+#[derive(Debug)]
+pub struct BufferedBytes {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl BufferedBytes {
+    /// Adds the bytes of a chunk. Returns false if more is buffered than the thread may hold.
+    pub fn add(&mut self, bytes: usize) -> bool {
+        self.own += bytes;
+        self.all.set(self.all.get() + bytes);
+        self.all.get() <= MAX_BUFFERED_BYTES
+    }
+}
+
+impl Drop for BufferedBytes {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
 }
 
 impl ConnectionPool {
@@ -320,6 +347,11 @@
         }
     }
 
+    /// Returns the count for a body that is to be read whole.
+    pub fn count_buffered(&self) -> BufferedBytes {
+        BufferedBytes { all: self.buffered.clone(), own: 0 }
+    }
+
     /// Records that an address has just sent something.
     pub fn record_heard(&self, address: SocketAddr) {
         self.silence.borrow_mut().record_heard(address, Instant::now());
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -130,12 +130,18 @@
     /// Reads the whole body. Fails if it is longer than `max_bytes`.
     pub async fn read_all(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         let Some(first) = self.next_chunk().await? else { return Ok(Bytes::new()) };
+        let mut buffered = self.pool.count_buffered();
+        let mut has_room = buffered.add(first.len());
         let mut whole = BytesMut::from(first);
         while let Some(chunk) = self.next_chunk().await? {
+            has_room &= buffered.add(chunk.len());
             whole.extend_from_slice(&chunk);
-            if whole.len() > max_bytes {
+            if whole.len() > max_bytes || !has_room {
                 self.connection = None;
-                let detail = format!("the response body exceeds {max_bytes} bytes");
+                let detail = match has_room {
+                    true => format!("the response body exceeds {max_bytes} bytes"),
+                    false => "too many response bodies are too long".to_owned(),
+                };
                 return Err(ExchangeError::invalid(detail));
             }
         }
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -25,6 +25,7 @@
 use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_policy::stream_end::judge_stream_end;
 use mulberry_protocol::batch_job::JobItem;
+use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -44,6 +45,9 @@
 /// Time without data from the endpoint after which a run is given up.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Most bytes of an item's output. A result must fit into a page of results.
+const MAX_ITEM_OUTPUT_BYTES: usize = MAX_SEGMENT_BYTES;
+
 /// Parameters of one run of an item.
 pub(crate) struct RunSpec {
     pub(crate) key: ItemKey,
@@ -151,6 +155,9 @@
     let mut end = StreamEnd::default();
     while let Some(chunk) = with_read_timeout(response.next_chunk()).await? {
         end.push(&chunk);
+        if end.is_overlong() {
+            return Err(ExchangeError::invalid("an event does not end"));
+        }
         let events = parser.push(&chunk);
         let is_certain = is_origin_certain(owner, spec);
         let mut state = owner.state.borrow_mut();
@@ -161,6 +168,10 @@
         for event in events {
             append_event(&mut item.progress, &event)?;
         }
+        if item.progress.text.len() > MAX_ITEM_OUTPUT_BYTES {
+            item.progress.discard();
+            return Err(ExchangeError::invalid("the output does not end"));
+        }
         item.progress.updated_at = owner.now();
         if item.progress.origin.is_none() && is_certain {
             item.progress.origin = Some(origin_of(&spec.endpoint));
--- a/crates/mulberry-direct/src/sse.rs
+++ b/crates/mulberry-direct/src/sse.rs
@@ -27,6 +27,10 @@
 #[derive(Debug, Default)]
 pub struct SseParser {
     buf: BytesMut,
+    /// Start of the first line in `buf` that has not ended.
+    line_start: usize,
+    /// Number of bytes in `buf` that were searched for the end of that line.
+    searched: usize,
 }
 
 impl SseParser {
@@ -34,29 +38,28 @@
     pub fn push(&mut self, chunk: &[u8]) -> Vec<SseEvent> {
         self.buf.extend_from_slice(chunk);
         let mut events = Vec::new();
-        while let Some(end) = find_event_end(&self.buf) {
+        while let Some(end) = self.find_event_end() {
             let raw = self.buf.split_to(end).freeze();
+            (self.line_start, self.searched) = (0, 0);
             events.push(parse_event(raw));
         }
         events
     }
-}
 
-/// Returns the position after the empty line that ends the first event, or `None` if that event is
-/// incomplete.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
+    /// Returns the position after the empty line that ends the first event, or `None` if that event is
+    /// incomplete. Looks at each byte once.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(offset) = self.buf[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let at = self.searched + offset;
+            let line = &self.buf[self.line_start..at];
+            if line.is_empty() || line == b"\r" {
+                return Some(at + 1);
+            }
+            (self.line_start, self.searched) = (at + 1, at + 1);
         }
-        line_start = at + 1;
+        self.searched = self.buf.len();
+        None
     }
-    None
 }
 
 fn parse_event(raw: Bytes) -> SseEvent {
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -103,13 +103,13 @@
     async fn next_chunk(&mut self) -> NextChunk {
         loop {
             let left_ms = self.req.due.since(self.relay.shared.clock.now());
+            if left_ms == 0 {
+                // A body that always has more to read never makes the read time out.
+                return NextChunk::Abort("time-out");
+            }
             let reading = self.open.response.next_chunk();
             let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
-            if let Ok(Ok(Some(chunk))) = &read {
-                self.open.watch.record_output();
-                self.end.push(chunk);
-            }
-            match read {
+            match read.map(|read| self.check_chunk(read)) {
                 Err(_) => return NextChunk::Abort("time-out"),
                 Ok(Ok(Some(chunk))) if !self.is_resumable() => {
                     self.events += 1;
@@ -131,6 +131,21 @@
         }
     }
 
+    /// Records a chunk. Turns it into an error if the event that it belongs to is too long to be one.
+    fn check_chunk(
+        &mut self,
+        read: Result<Option<Bytes>, ExchangeError>,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        if let Ok(Some(chunk)) = &read {
+            self.open.watch.record_output();
+            self.end.push(chunk);
+        }
+        match self.end.is_overlong() && self.open.response.is_event_stream() {
+            true => Err(ExchangeError::invalid("an event does not end")),
+            false => read,
+        }
+    }
+
     /// Returns whether events are parsed, so that another endpoint can continue the stream.
     fn is_resumable(&self) -> bool {
         self.req.route.resumable && self.open.response.is_event_stream()
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -100,10 +100,15 @@
         self.last_event = Some(number);
     }
 
+    /// Drops the output, so that the next run begins anew.
+    pub fn discard(&mut self) {
+        *self = Self { generation: self.generation + 1, ..Self::default() };
+    }
+
     /// Drops the output unless it is certain that `origin` wrote it, which is to continue it.
     pub fn keep_only_of(&mut self, origin: &StreamOrigin) {
         if self.origin.as_ref() != Some(origin) {
-            *self = Self { generation: self.generation + 1, ..Self::default() };
+            self.discard();
         }
     }
 }
--- a/crates/mulberry-policy/src/stream_end.rs
+++ b/crates/mulberry-policy/src/stream_end.rs
@@ -49,6 +49,9 @@
     }
 }
 
+/// Most bytes of one event, in bytes. What is longer is no event, and may never end.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Number of the last bytes that tell whether an event has just ended: the longest of its ends.
 const TAIL_BYTES: usize = 3;
 
@@ -68,11 +71,13 @@
     /// The last bytes; a stream begins as if a line had just ended.
     tail: [u8; TAIL_BYTES],
     is_started: bool,
+    /// Bytes since the last event ended.
+    unfinished: usize,
 }
 
 impl Default for StreamEnd {
     fn default() -> Self {
-        Self { tail: [0, 0, b'\n'], is_started: false }
+        Self { tail: [0, 0, b'\n'], is_started: false, unfinished: 0 }
     }
 }
 
@@ -80,20 +85,32 @@
     /// Adds the next bytes of the stream.
     pub fn push(&mut self, chunk: &[u8]) {
         self.is_started |= !chunk.is_empty();
-        for byte in &chunk[chunk.len().saturating_sub(TAIL_BYTES)..] {
-            self.tail.rotate_left(1);
-            self.tail[TAIL_BYTES - 1] = *byte;
+        for byte in chunk {
+            self.tail = [self.tail[1], self.tail[2], *byte];
+            self.unfinished += 1;
+            if self.is_between_events() {
+                self.unfinished = 0;
+            }
         }
     }
 
+    /// Returns whether the event that has not ended yet is too long to be one.
+    pub fn is_overlong(&self) -> bool {
+        self.unfinished > MAX_EVENT_BYTES
+    }
+
     /// Returns where the bytes so far end.
     pub fn position(&self) -> StreamPosition {
-        match self.tail {
-            _ if !self.is_started => StreamPosition::Start,
-            [_, b'\n', b'\n'] | [b'\n', b'\r', b'\n'] => StreamPosition::BetweenEvents,
-            _ => StreamPosition::WithinEvent,
+        match self.is_started {
+            false => StreamPosition::Start,
+            true if self.is_between_events() => StreamPosition::BetweenEvents,
+            true => StreamPosition::WithinEvent,
         }
     }
+
+    fn is_between_events(&self) -> bool {
+        matches!(self.tail, [_, b'\n', b'\n'] | [b'\n', b'\r', b'\n'])
+    }
 }
 
 closed_set! {
--- a/crates/mulberry-policy/tests/stream_end.rs
+++ b/crates/mulberry-policy/tests/stream_end.rs
@@ -1,6 +1,7 @@
 //! Where an event stream ends, by its bytes in chunks of any size, and whether it is whole.
 
 use mulberry_policy::stream_end::BodyFraming;
+use mulberry_policy::stream_end::MAX_EVENT_BYTES;
 use mulberry_policy::stream_end::StreamEnd;
 use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
@@ -104,3 +105,20 @@
         assert_eq!(verdict, case.verdict, "{}", case.name);
     }
 }
+
+/// Guards against bytes without end (issue 23) that are no event.
+#[test]
+fn event_that_does_not_end_is_overlong() {
+    let mut end = StreamEnd::default();
+    let line = [b'x'; 1024];
+    for _ in 0..MAX_EVENT_BYTES / line.len() {
+        end.push(&line);
+        assert!(!end.is_overlong());
+    }
+    end.push(b"\n\n");
+    assert!(!end.is_overlong(), "the event has ended");
+    for _ in 0..=MAX_EVENT_BYTES / line.len() {
+        end.push(&line);
+    }
+    assert!(end.is_overlong());
+}
