An endpoint that says in its responses that it leaves gets nothing more

leaving_endpoints remembers it by name and start, in entries and the owner, also from refusals and failures, whatever the registration says, until another process has the name. A response with status 421 is another endpoint's and says nothing. No wait of our own: who leaves gets nothing new at once.

--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -51,12 +51,15 @@
             Some(origin) => &origin.service,
             None => req.route.pick_service(rng.random()).ok_or_else(none)?,
         };
+        let leaving = self.shared.leaving();
         let ready: Vec<&EndpointRecord> = endpoints
             .values()
             .filter(|e| e.service == *service && e.state == EndpointState::Ready)
+            .filter(|e| !leaving.is_leaving(e))
             .filter(|e| origin.is_none_or(|origin| e.software == origin.software))
             .filter(|e| !tried.contains(&e.name))
             .collect();
+        drop(leaving);
         if ready.is_empty() {
             return Err(none());
         }
--- a/crates/mulberry-direct/src/dialect.rs
+++ b/crates/mulberry-direct/src/dialect.rs
@@ -38,6 +38,8 @@
     pub resumes: HeaderName,
     /// Name of the endpoint that the request is meant for.
     pub expected_endpoint: HeaderName,
+    /// Marks the responses of an endpoint that leaves.
+    pub leaving: HeaderName,
     /// Marks a response whose request did not run.
     pub not_run: HeaderName,
     /// Longest time for which a read of results may wait for new ones, in milliseconds.
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -46,6 +46,8 @@
     NotRun {
         /// HTTP status of the response.
         status: StatusCode,
+        /// Whether it also said that it leaves.
+        is_leaving: bool,
     },
     /// The connection broke or the response was invalid; the request may have run.
     #[error("the exchange failed: {detail}")]
@@ -86,6 +88,8 @@
     /// Time for which connections to the endpoint had been held when the request was sent, in
     /// milliseconds.
     pub held_ms: u64,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
     /// What says where the body ends.
     pub framing: BodyFraming,
     body: Incoming,
@@ -209,6 +213,9 @@
         return Err(ExchangeError::invalid("the response has the ID of another request"));
     }
     let not_run = headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
+    // Status 421 is another endpoint's.
+    let is_leaving =
+        headers.contains_key(&names.leaving) && status != StatusCode::MISDIRECTED_REQUEST;
     let reusable = !has_connection_close(&headers) && head.version == hyper::Version::HTTP_11;
     let keep_alive = parse_keep_alive(&headers);
     let framing = body_framing(&headers);
@@ -220,6 +227,7 @@
         status,
         headers,
         held_ms,
+        is_leaving,
         framing,
         body,
         connection: Some(connection),
@@ -231,7 +239,7 @@
     if not_run {
         // The body is read only so that the connection can be reused.
         let _rest = response.read_all(MAX_REFUSAL_BYTES).await;
-        return Err(ExchangeError::NotRun { status });
+        return Err(ExchangeError::NotRun { status, is_leaving });
     }
     if !response.headers.contains_key(&names.request_id) && status.is_success() {
         return Err(ExchangeError::invalid("the response has no request ID"));
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -77,6 +77,9 @@
             (RunOutcome::Broken, detail)
         }
         Err(e @ (ExchangeError::NotRun { .. } | ExchangeError::NotSent { .. })) => {
+            if matches!(e, ExchangeError::NotRun { is_leaving: true, .. }) {
+                owner.shared.record_leaving(&spec.endpoint);
+            }
             (RunOutcome::NotRun, e.to_string())
         }
     };
@@ -140,6 +143,9 @@
     }
     let sending = exchange(&owner.pool, owner.shared.dialect.headers(), request);
     let mut response = with_read_timeout(sending).await?;
+    if response.is_leaving {
+        owner.shared.record_leaving(&spec.endpoint);
+    }
     match response.status.as_u16() {
         200..=299 => {}
         422 => return Ok(RunOutcome::Impossible),
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -75,6 +75,7 @@
         let usable: Vec<&EndpointRecord> = endpoints
             .values()
             .filter(|e| e.service == service && e.state == EndpointState::Ready)
+            .filter(|e| !owner.shared.leaving().is_leaving(e))
             .collect();
         let work = collect_work(owner, &configuration, &service);
         let capacity = endpoint_capacity(owner, &usable);
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -355,6 +355,9 @@
         let names = self.shared.dialect.headers();
         let exchanged = exchange(&self.pool, names, request).await;
         let mut response = watch_failure(&mut watch, exchanged).await?;
+        if response.is_leaving {
+            self.shared.record_leaving(&choice.endpoint);
+        }
         if req.route.kind == RouteKind::Stream && response.status.is_success() {
             let choice = choice.clone();
             let open =
@@ -381,7 +384,10 @@
                 self.record_failure(endpoint, "not-sent");
                 Refusal::not_run(RefusalReason::LinkFailed, detail).into()
             }
-            ExchangeError::NotRun { status } => {
+            ExchangeError::NotRun { status, is_leaving } => {
+                if is_leaving {
+                    self.shared.record_leaving(endpoint);
+                }
                 let reason = match status {
                     StatusCode::MISDIRECTED_REQUEST => RefusalReason::NotReady,
                     _ => RefusalReason::Busy,
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -19,6 +19,7 @@
 use mulberry_policy::crash_suspects::CrashSuspects;
 use mulberry_policy::ejection::Ejector;
 use mulberry_policy::endpoint_continuity::is_same_process;
+use mulberry_policy::leaving_endpoints::LeavingEndpoints;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
 use mulberry_policy::queue_limit::QueueLimits;
@@ -88,6 +89,7 @@
     watch_renewal: Mutex<WatchRenewal>,
     occupancy: Mutex<Occupancy>,
     ejector: Mutex<Ejector>,
+    leaving: Mutex<LeavingEndpoints>,
     queue_limits: Mutex<QueueLimits>,
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
     pub(crate) trials: TrialDesk,
@@ -132,6 +134,7 @@
             watch_renewal: Mutex::default(),
             occupancy: Mutex::default(),
             ejector: Mutex::default(),
+            leaving: Mutex::default(),
             queue_limits: Mutex::default(),
             crash_suspects: Mutex::default(),
             trials: TrialDesk::default(),
@@ -176,6 +179,20 @@
         lock(&self.ejector)
     }
 
+    /// Locks the record of endpoints that said that they leave.
+    pub fn leaving(&self) -> MutexGuard<'_, LeavingEndpoints> {
+        lock(&self.leaving)
+    }
+
+    /// Records that an endpoint says that it leaves. It gets nothing new from this process.
+    pub fn record_leaving(&self, endpoint: &EndpointRecord) {
+        if self.leaving().record(endpoint) {
+            self.metrics.count("direct.endpoints_leaving");
+            log_event!(info, Event::EndpointLeaving, endpoint = %endpoint.name,
+                service = %endpoint.service, state = ?endpoint.state);
+        }
+    }
+
     /// Records what a process reports about the store, and restarts the pending watch calls if the
     /// report shows that they may never be answered.
     pub fn record_store_report(&self, reporter: &EntryName, report: StoreReport) {
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod heartbeat_interval;
 pub mod job_log;
 pub mod job_queue;
+pub mod leaving_endpoints;
 pub mod membership;
 pub mod occupancy;
 pub mod owner_lease;
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -152,6 +152,8 @@
     AttemptFailed = 702, "attempt failed";
     /// The origin of a stream that a caller takes up was looked for.
     StreamTakenUp = 703, "stream taken up";
+    /// An endpoint said in a response that it leaves.
+    EndpointLeaving = 704, "endpoint says that it leaves";
     /// An operator's command changed the deployment.
     OperatorCommand = 800, "operator command";
 }
