A stream goes on though nobody remembers it, where its service runs one version only

An outage of the store voids what is known. stream_of_the_only_version_goes_on_though_nobody_remembers_it; a fresh entry still refuses (stream_of_unknown_version_is_not_continued).

--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -14,16 +14,19 @@
 use hyper::header::HeaderValue;
 use rand::Rng;
 
+use mulberry_policy::endpoint_continuity::REGISTRATION_LAG_MS;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::retry::FailedAttempt;
 use mulberry_policy::retry::RetryDecision;
 use mulberry_policy::retry::decide_retry;
 use mulberry_policy::retry::final_refusal;
+use mulberry_policy::stream_origins::ORIGIN_TTL_MS;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::name::SoftwareVersion;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::refusal::RunState;
@@ -42,7 +45,6 @@
 use crate::exchange::exchange;
 use crate::fingerprint::fingerprint_text;
 use crate::origins::make_certain;
-use crate::origins::origin_of;
 use crate::run_watch::RunWatch;
 use crate::shared::LoadGuard;
 use crate::shared::SharedState;
@@ -234,8 +236,9 @@
                 let hold = |likely: &StreamOrigin| self.hold_one(req, likely);
                 self.shared.find_origin(id, stream_key(id.as_bytes()), hold).await
             }
-            None => self.only_origin(req),
+            None => None,
         };
+        let origin = origin.or_else(|| self.only_origin(req));
         let is_target = |o: &StreamOrigin| req.route.targets.iter().any(|t| t.service == o.service);
         match origin.filter(is_target) {
             Some(origin) => Ok(Some(origin)),
@@ -256,14 +259,21 @@
         });
     }
 
-    /// Returns the origin of every stream of the route, if its endpoints run one version only.
+    /// Returns the origin of every stream of the route that can still be taken up, if its service has run
+    /// one version only for as long as a caller may wait.
     fn only_origin(&self, req: &CallerRequest) -> Option<StreamOrigin> {
-        let endpoints = self.shared.endpoints.load();
-        let is_target =
-            |e: &&EndpointRecord| req.route.targets.iter().any(|t| t.service == e.service);
-        let mut origins = endpoints.values().filter(is_target).map(origin_of);
-        let first = origins.next()?;
-        origins.all(|origin| origin == first).then_some(first)
+        let [target] = req.route.targets.as_slice() else { return None };
+        let span_ms = match req.route.timeout_ms {
+            0 => ORIGIN_TTL_MS,
+            timeout_ms => timeout_ms + REGISTRATION_LAG_MS,
+        };
+        let history = self.shared.version_history();
+        let only = history.only_version(&target.service, span_ms, self.shared.clock.now());
+        let origin = |v: &SoftwareVersion| StreamOrigin {
+            service: target.service.clone(),
+            software: v.clone(),
+        };
+        only.map(origin)
     }
 
     /// Chooses an endpoint for a request that may run, and claims its trial if it needs one.
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -23,6 +23,7 @@
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
 use mulberry_policy::queue_limit::QueueLimits;
+use mulberry_policy::version_history::VersionHistory;
 use mulberry_policy::watch_renewal::StoreReport;
 use mulberry_policy::watch_renewal::WatchRenewal;
 use mulberry_process::clock::SharedClock;
@@ -96,6 +97,7 @@
     pub(crate) origins: OriginDesk,
     /// Socket for datagrams to peers, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
+    version_history: Mutex<VersionHistory>,
     /// Since when changes of endpoints may have been missed; [`NOT_STALE`] if none may.
     endpoints_stale_since: AtomicU64,
 }
@@ -140,6 +142,7 @@
             trials: TrialDesk::default(),
             origins: OriginDesk::default(),
             datagrams: OnceLock::new(),
+            version_history: Mutex::default(),
             endpoints_stale_since: AtomicU64::new(NOT_STALE),
         })
     }
@@ -149,8 +152,16 @@
         lock(&self.peers)
     }
 
+    /// Locks the record of services that run a single software version.
+    pub fn version_history(&self) -> MutexGuard<'_, VersionHistory> {
+        lock(&self.version_history)
+    }
+
     /// Sets since when changes of endpoints may have been missed, if any may.
     pub fn set_endpoints_stale_since(&self, since: Option<Millis>) {
+        if since.is_some() {
+            self.version_history().clear();
+        }
         let since = since.map_or(NOT_STALE, |at| at.0);
         self.endpoints_stale_since.store(since, Ordering::Relaxed);
     }
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -201,7 +201,11 @@
         loop {
             tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
             let now = shared.clock.now();
+            let was_stale = shared.endpoints_stale_ms() > 0;
             shared.set_endpoints_stale_since(registry.borrow().stale_since(now));
+            if was_stale && shared.endpoints_stale_ms() == 0 {
+                publish(&shared, &registry.borrow());
+            }
             let due = registry.borrow().next_expiry().is_some_and(|at| at <= shared.clock.now());
             if due && registry.borrow_mut().expire(shared.clock.now()) {
                 publish(&shared, &registry.borrow());
@@ -289,6 +293,10 @@
     for name in before.keys().filter(|n| !registry.endpoints().contains_key(*n)) {
         log_event!(info, Event::EndpointGone, endpoint = %name);
     }
+    if shared.endpoints_stale_ms() == 0 {
+        let endpoints = registry.endpoints().values();
+        shared.version_history().record(endpoints, shared.clock.now());
+    }
     shared.ejector().retain(|name| registry.endpoints().contains_key(name));
     shared.endpoints.store(Arc::new(registry.endpoints().clone()));
 }
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod subset;
 pub mod suspects;
 pub mod token_bucket;
+pub mod version_history;
 pub mod watch_renewal;
