--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -28,10 +28,10 @@
 use tokio::time::timeout;
 
 use mulberry_policy::crash_suspects::CrashEvidence;
-use mulberry_policy::endpoint_continuity::Continuity;
 use mulberry_protocol::closed_set;
-use mulberry_protocol::time::Millis;
 
+use crate::holds::HoldGuard;
+use crate::holds::HoldLog;
 use crate::silence::SilenceLog;
 
 /// Timeout of opening a TCP connection.
@@ -128,60 +128,6 @@
     }
 }
 
-/// For how long connections to each address have been held, on the clock of one thread.
-#[derive(Debug)]
-struct HoldLog {
-    began: Instant,
-    continuity: Continuity,
-}
-
-impl HoldLog {
-    fn now(&self) -> Millis {
-        Millis(self.began.elapsed().as_millis() as u64)
-    }
-}
-
-impl Default for HoldLog {
-    fn default() -> Self {
-        Self { began: Instant::now(), continuity: Continuity::default() }
-    }
-}
-
-/// Tells the log of a thread when one of its connections ends.
-#[derive(Debug)]
-struct HoldGuard {
-    log: Rc<RefCell<HoldLog>>,
-    address: SocketAddr,
-    opened: Millis,
-    /// Whether the other end said that it closes the connection.
-    is_closing: Rc<Cell<bool>>,
-    was_ended: bool,
-}
-
-impl HoldGuard {
-    fn new(log: Rc<RefCell<HoldLog>>, address: SocketAddr) -> Self {
-        let opened = log.borrow().now();
-        log.borrow_mut().continuity.record_opened(address, opened);
-        Self { log, address, opened, is_closing: Rc::default(), was_ended: false }
-    }
-
-    /// Records that the other end closed the connection, or that it broke.
-    fn end(mut self) {
-        self.was_ended = true;
-    }
-}
-
-impl Drop for HoldGuard {
-    fn drop(&mut self) {
-        let mut log = self.log.borrow_mut();
-        let now = log.now();
-        match self.was_ended && !self.is_closing.get() {
-            true => log.continuity.record_ended(self.address, self.opened, now),
-            false => log.continuity.record_closed(self.address, self.opened),
-        }
-    }
-}
-
 /// An open HTTP/1.1 connection, used for one exchange at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -202,7 +148,7 @@
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|source| SendError::Broken { source })?;
         let guard = HoldGuard::new(log, address);
-        let is_closing = guard.is_closing.clone();
+        let is_closing = guard.closing_flag();
         let task = actix_rt::spawn(async move {
             // A failure also reaches the pending exchange, which reports it.
             let _ended = connection.await;
@@ -321,8 +267,7 @@
     /// Returns for how long connections to an address have been held without a break, in
     /// milliseconds, or `None` if there is none.
     pub fn held_ms(&self, address: SocketAddr) -> Option<u64> {
-        let holds = self.holds.borrow();
-        holds.continuity.held_ms(address, holds.now())
+        self.holds.borrow().held_ms(address)
     }
 
     /// Opens a connection to an address unless one is held.
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -8,12 +8,14 @@
 
 pub mod choice;
 pub mod connection;
+pub mod continuation;
 pub mod crashes;
 pub mod dialect;
 pub mod entry;
 pub mod exchange;
 pub mod fingerprint;
 pub mod handler;
+pub mod holds;
 pub mod job_calls;
 pub mod metrics_server;
 pub mod origins;
--- a/crates/mulberry-direct/src/origins.rs
+++ b/crates/mulberry-direct/src/origins.rs
@@ -148,9 +148,11 @@
     }
 
     /// Returns the origin of the stream that the request `resumes` began, here or elsewhere, or `None`
-    /// if nobody knows it. Calls `on_likely` each time that it is likely but not certain yet.
+    /// if nobody knows it. Calls `on_likely` each time that it is likely but not certain yet. `request` is
+    /// the ID of the request that is to continue it, for the log.
     pub async fn find_origin(
         &self,
+        request: &str,
         resumes: &str,
         stream: u64,
         on_likely: impl Fn(&StreamOrigin),
@@ -168,6 +170,7 @@
         log_event!(
             info,
             Event::StreamTakenUp,
+            request,
             resumes,
             known = origin.is_some(),
             asked,
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -14,26 +14,22 @@
 use hyper::header::HeaderValue;
 use rand::Rng;
 
-use mulberry_policy::endpoint_continuity::REGISTRATION_LAG_MS;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::retry::FailedAttempt;
 use mulberry_policy::retry::RetryDecision;
 use mulberry_policy::retry::decide_retry;
 use mulberry_policy::retry::final_refusal;
-use mulberry_policy::stream_origins::ORIGIN_TTL_MS;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
-use mulberry_protocol::name::SoftwareVersion;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::route::Route;
 use mulberry_protocol::route::RouteKind;
 use mulberry_protocol::stream_origin::StreamOrigin;
-use mulberry_protocol::stream_origin::stream_key;
 use mulberry_protocol::time::Millis;
 
 use crate::choice::EndpointChoice;
@@ -225,57 +221,6 @@
         }
     }
 
-    /// Returns the origin of the stream that the request continues, or none if it continues none.
-    /// Refuses it if nobody knows the origin.
-    async fn required_origin(&self, req: &CallerRequest) -> Result<Option<StreamOrigin>, Refusal> {
-        if req.route.kind != RouteKind::Stream || !req.route.resumable || !req.is_continued {
-            return Ok(None);
-        }
-        let origin = match &req.resumes {
-            Some(id) => {
-                let hold = |likely: &StreamOrigin| self.hold_one(req, likely);
-                self.shared.find_origin(id, stream_key(id.as_bytes()), hold).await
-            }
-            None => None,
-        };
-        let origin = origin.or_else(|| self.only_origin(req));
-        let is_target = |o: &StreamOrigin| req.route.targets.iter().any(|t| t.service == o.service);
-        match origin.filter(is_target) {
-            Some(origin) => Ok(Some(origin)),
-            None => {
-                let detail = "it is not known which software version began the stream";
-                Err(Refusal::not_run(RefusalReason::StreamOrigin, detail))
-            }
-        }
-    }
-
-    /// Opens a connection to an endpoint of the origin, so that its version is certain sooner.
-    fn hold_one(&self, req: &CallerRequest, origin: &StreamOrigin) {
-        let Ok(choice) = self.choose(req, &[], Some(origin)) else { return };
-        let pool = self.pool.clone();
-        actix_rt::spawn(async move {
-            // A failure shows when the request is sent.
-            let _held = pool.hold(choice.endpoint.address).await;
-        });
-    }
-
-    /// Returns the origin of every stream of the route that can still be taken up, if its service has run
-    /// one version only for as long as a caller may wait.
-    fn only_origin(&self, req: &CallerRequest) -> Option<StreamOrigin> {
-        let [target] = req.route.targets.as_slice() else { return None };
-        let span_ms = match req.route.timeout_ms {
-            0 => ORIGIN_TTL_MS,
-            timeout_ms => timeout_ms + REGISTRATION_LAG_MS,
-        };
-        let history = self.shared.version_history();
-        let only = history.only_version(&target.service, span_ms, self.shared.clock.now());
-        let origin = |v: &SoftwareVersion| StreamOrigin {
-            service: target.service.clone(),
-            software: v.clone(),
-        };
-        only.map(origin)
-    }
-
     /// Chooses an endpoint for a request that may run, and claims its trial if it needs one.
     async fn choose_permitted(
         &self,
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -36,6 +36,11 @@
 use mulberry_protocol::peer::encode_peer_datagram;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
+use mulberry_protocol::stream_origin::OriginAnswer;
+use mulberry_protocol::stream_origin::StreamMessage;
+use mulberry_protocol::stream_origin::StreamOrigin;
+use mulberry_protocol::stream_origin::decode_stream_message;
+use mulberry_protocol::stream_origin::encode_stream_message;
 
 fn keyring(text: &str) -> SecretKeyring {
     match SecretKeyring::parse(text) {
@@ -183,3 +188,27 @@
     let sent_before = secrets.sign_datagram(&payload);
     assert!(decode_peer_datagram(&sent_before, &secrets).unwrap().details.is_empty());
 }
+
+/// Guards against builds that take each other's datagrams for something else during an upgrade: earlier
+/// ones know heartbeats only.
+#[test]
+fn messages_about_streams_and_heartbeats_are_told_apart() {
+    let secrets = keyring("the-secret-of-all-peers");
+    let origin = StreamOrigin { service: "svc".into(), software: "v1".into() };
+    let reply_to = SocketAddr::from((Ipv4Addr::LOCALHOST, 7_660));
+    let messages = [
+        StreamMessage::Begun { stream: 0, origin: origin.clone() },
+        StreamMessage::Ask { stream: u64::MAX, question: 1, reply_to },
+        StreamMessage::Answer { question: 1, answer: OriginAnswer::Unknown },
+        StreamMessage::Answer { question: 1, answer: OriginAnswer::Pending(origin) },
+    ];
+    for message in messages {
+        let datagram = encode_stream_message(&message, &secrets).unwrap();
+        let payload = secrets.verify_datagram(&datagram).unwrap();
+        assert_eq!(decode_stream_message(payload).unwrap(), Some(message));
+        assert!(decode_peer_datagram(&datagram, &secrets).is_err(), "an earlier build refuses it");
+    }
+    let heartbeat = encode_peer_datagram(&peer_datagram(Vec::new()), &secrets).unwrap();
+    let payload = secrets.verify_datagram(&heartbeat).unwrap();
+    assert_eq!(decode_stream_message(payload).unwrap(), None);
+}
