A response that only the connection's end ends, and that ended with its endpoint's process, is broken off

Such an end is now followed by the probe that tells a crash from a broken connection. If the endpoint refuses connections, though neither its responses nor the store said that it leaves, the response is broken off: resumed, asked for again, or cut, as its route allows. Responses with a length or chunks aren't probed.

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -10,7 +10,10 @@
 use mulberry_policy::crash_suspects::Run;
 use mulberry_policy::crash_suspects::SuspectSender;
 use mulberry_policy::crash_suspects::ToldSuspect;
+use mulberry_policy::stream_end::StreamEnding;
+use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_protocol::endpoint::EndpointRecord;
+use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EntryName;
@@ -78,6 +81,26 @@
         may_retry
     }
 
+    /// Decides whether a stream that an endpoint ended without an error is whole. Probes the endpoint if
+    /// that depends on whether its process has ended too.
+    pub async fn judge_ending(
+        &self,
+        ending: StreamEnding,
+        endpoint: &EndpointRecord,
+    ) -> StreamVerdict {
+        let has_announced = || {
+            let endpoints = self.endpoints.load();
+            let known = endpoints.get(&endpoint.name);
+            let is_ready = known.is_some_and(|e| e.state == EndpointState::Ready);
+            !is_ready || self.leaving().is_leaving(endpoint)
+        };
+        if !ending.needs_probe() || has_announced() {
+            return ending.judge(false);
+        }
+        let evidence = probe_after_break(endpoint.address).await;
+        ending.judge(evidence == CrashEvidence::Refused)
+    }
+
     /// Records that an endpoint ended the connection while it had a request, which was sent at
     /// `sent_at`. Probes the endpoint to see whether its process has ended. Returns whether the crash
     /// counts, as no other break of the same is known.
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -22,8 +22,8 @@
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
 use mulberry_policy::stream_end::StreamEnd;
+use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamVerdict;
-use mulberry_policy::stream_end::judge_stream_end;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
 use mulberry_protocol::endpoint::EndpointRecord;
@@ -183,7 +183,12 @@
             item.progress.origin = Some(origin_of(&spec.endpoint));
         }
     }
-    match judge_stream_end(response.framing, end.position(), spec.last_event.is_some()) {
+    let ending = StreamEnding {
+        framing: response.framing,
+        position: end.position(),
+        is_continued: spec.last_event.is_some(),
+    };
+    match owner.shared.judge_ending(ending, &spec.endpoint).await {
         StreamVerdict::Whole => Ok(RunOutcome::Completed),
         StreamVerdict::BrokenOff => Err(ExchangeError::broken_off(end.position())),
     }
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -20,6 +20,9 @@
 use mulberry_policy::retry::RetryDecision;
 use mulberry_policy::retry::decide_retry;
 use mulberry_policy::retry::final_refusal;
+use mulberry_policy::stream_end::StreamEnding;
+use mulberry_policy::stream_end::StreamPosition;
+use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -321,6 +324,15 @@
         }
         let read = response.read_all(MAX_RESPONSE_BYTES).await;
         let body = watch_failure(&mut watch, read).await?;
+        let ending = StreamEnding {
+            framing: response.framing,
+            position: StreamPosition::BetweenEvents,
+            is_continued: false,
+        };
+        if self.shared.judge_ending(ending, &choice.endpoint).await == StreamVerdict::BrokenOff {
+            let broken = Err(ExchangeError::broken_off(ending.position));
+            return watch_failure(&mut watch, broken).await;
+        }
         watch.complete();
         let duration_ms = self.shared.clock.now().since(watch.sent_at());
         self.shared.queue_limits().record_run(&choice.endpoint.service, duration_ms, 0);
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -11,8 +11,9 @@
 use futures_util::stream::unfold;
 
 use mulberry_policy::stream_end::StreamEnd;
+use mulberry_policy::stream_end::StreamEnding;
+use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
-use mulberry_policy::stream_end::judge_stream_end;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
@@ -109,7 +110,11 @@
             }
             let reading = self.open.response.next_chunk();
             let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
-            match read.map(|read| self.check_chunk(read)) {
+            let read = read.map(|read| self.check_chunk(read));
+            if matches!(read, Ok(Ok(None))) && self.is_whole().await {
+                return NextChunk::End;
+            }
+            match read {
                 Err(_) => return NextChunk::Abort("time-out"),
                 Ok(Ok(Some(chunk))) if !self.is_resumable() => {
                     self.events += 1;
@@ -120,7 +125,6 @@
                         return NextChunk::Data(events);
                     }
                 }
-                Ok(Ok(None)) if self.is_whole() => return NextChunk::End,
                 Ok(ended) => {
                     self.record_break(ended.err()).await;
                     if !self.resume().await {
@@ -152,11 +156,19 @@
     }
 
     /// Returns whether the stream, which has ended without an error, is whole.
-    fn is_whole(&self) -> bool {
+    async fn is_whole(&self) -> bool {
         let response = &self.open.response;
-        let is_continued = self.last_event.is_some() || self.req.is_continued;
-        let verdict = judge_stream_end(response.framing, self.end.position(), is_continued);
-        !response.is_event_stream() || verdict == StreamVerdict::Whole
+        let position = match response.is_event_stream() {
+            true => self.end.position(),
+            false => StreamPosition::BetweenEvents,
+        };
+        let ending = StreamEnding {
+            framing: response.framing,
+            position,
+            is_continued: self.last_event.is_some() || self.req.is_continued,
+        };
+        let verdict = self.relay.shared.judge_ending(ending, &self.open.choice.endpoint);
+        verdict.await == StreamVerdict::Whole
     }
 
     /// Parses a chunk and returns the complete events in it that the caller has not received yet.
--- a/crates/mulberry-policy/src/stream_end.rs
+++ b/crates/mulberry-policy/src/stream_end.rs
@@ -123,18 +123,34 @@
     }
 }
 
-/// Decides whether a stream that ended without an error is whole. `is_continued` says whether it was
-/// to continue behind events of an earlier run, after which nothing may be left.
-pub fn judge_stream_end(
-    framing: BodyFraming,
-    position: StreamPosition,
-    is_continued: bool,
-) -> StreamVerdict {
-    match (position, framing) {
-        (StreamPosition::WithinEvent, _) => StreamVerdict::BrokenOff,
-        (StreamPosition::Start, BodyFraming::Connection) if !is_continued => {
-            StreamVerdict::BrokenOff
+/// How a stream ended without an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamEnding {
+    /// What says where its body ends.
+    pub framing: BodyFraming,
+    /// Where its bytes ended.
+    pub position: StreamPosition,
+    /// Whether it was to continue behind events of an earlier run, after which nothing may be left.
+    pub is_continued: bool,
+}
+
+impl StreamEnding {
+    /// Decides whether the stream is whole. If only the end of the connection says that it is over,
+    /// `has_sender_ended` is whether the sender's process ended with it, without having said that it
+    /// leaves.
+    pub fn judge(self, has_sender_ended: bool) -> StreamVerdict {
+        match (self.position, self.framing) {
+            (StreamPosition::WithinEvent, _) => StreamVerdict::BrokenOff,
+            (StreamPosition::Start, BodyFraming::Connection) if !self.is_continued => {
+                StreamVerdict::BrokenOff
+            }
+            (_, BodyFraming::Connection) if has_sender_ended => StreamVerdict::BrokenOff,
+            (StreamPosition::Start | StreamPosition::BetweenEvents, _) => StreamVerdict::Whole,
         }
-        (StreamPosition::Start | StreamPosition::BetweenEvents, _) => StreamVerdict::Whole,
+    }
+
+    /// Returns whether the verdict depends on what has become of the sender.
+    pub fn needs_probe(self) -> bool {
+        self.judge(false) != self.judge(true)
     }
 }
--- a/crates/mulberry-policy/tests/stream_end.rs
+++ b/crates/mulberry-policy/tests/stream_end.rs
@@ -3,9 +3,9 @@
 use mulberry_policy::stream_end::BodyFraming;
 use mulberry_policy::stream_end::MAX_EVENT_BYTES;
 use mulberry_policy::stream_end::StreamEnd;
+use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
-use mulberry_policy::stream_end::judge_stream_end;
 
 struct Ending {
     name: &'static str,
@@ -50,7 +50,8 @@
     framing: BodyFraming,
     position: StreamPosition,
     is_continued: bool,
-    verdict: StreamVerdict,
+    /// The verdict if the sender goes on, and if its process has ended.
+    verdicts: [StreamVerdict; 2],
 }
 
 const END_CASES: &[EndCase] = &[
@@ -59,50 +60,60 @@
         framing: BodyFraming::Connection,
         position: StreamPosition::WithinEvent,
         is_continued: false,
-        verdict: StreamVerdict::BrokenOff,
+        verdicts: [StreamVerdict::BrokenOff, StreamVerdict::BrokenOff],
     },
     EndCase {
         name: "the last chunk ends within an event",
         framing: BodyFraming::Chunks,
         position: StreamPosition::WithinEvent,
         is_continued: true,
-        verdict: StreamVerdict::BrokenOff,
+        verdicts: [StreamVerdict::BrokenOff, StreamVerdict::BrokenOff],
     },
     EndCase {
         name: "the connection ends before the first event",
         framing: BodyFraming::Connection,
         position: StreamPosition::Start,
         is_continued: false,
-        verdict: StreamVerdict::BrokenOff,
+        verdicts: [StreamVerdict::BrokenOff, StreamVerdict::BrokenOff],
     },
     EndCase {
         name: "nothing was left behind the last event",
         framing: BodyFraming::Connection,
         position: StreamPosition::Start,
         is_continued: true,
-        verdict: StreamVerdict::Whole,
+        verdicts: [StreamVerdict::Whole, StreamVerdict::BrokenOff],
     },
     EndCase {
         name: "a stream without events that says so",
         framing: BodyFraming::Chunks,
         position: StreamPosition::Start,
         is_continued: false,
-        verdict: StreamVerdict::Whole,
+        verdicts: [StreamVerdict::Whole, StreamVerdict::Whole],
     },
     EndCase {
         name: "the connection ends between events",
         framing: BodyFraming::Connection,
         position: StreamPosition::BetweenEvents,
         is_continued: false,
-        verdict: StreamVerdict::Whole,
+        verdicts: [StreamVerdict::Whole, StreamVerdict::BrokenOff],
+    },
+    EndCase {
+        name: "the last chunk ends between events",
+        framing: BodyFraming::Chunks,
+        position: StreamPosition::BetweenEvents,
+        is_continued: false,
+        verdicts: [StreamVerdict::Whole, StreamVerdict::Whole],
     },
 ];
 
 #[test]
 fn stream_is_whole_unless_its_end_says_otherwise() {
     for case in END_CASES {
-        let verdict = judge_stream_end(case.framing, case.position, case.is_continued);
-        assert_eq!(verdict, case.verdict, "{}", case.name);
+        let EndCase { framing, position, is_continued, .. } = *case;
+        let ending = StreamEnding { framing, position, is_continued };
+        assert_eq!([false, true].map(|ended| ending.judge(ended)), case.verdicts, "{}", case.name);
+        let [goes_on, ended] = case.verdicts;
+        assert_eq!(ending.needs_probe(), goes_on != ended, "{}", case.name);
     }
 }
 
