--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -4,17 +4,20 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use mulberry_platform::error::PlatformError;
 use mulberry_platform::object_api::Object;
 use mulberry_platform::object_api::WatchEvent;
 use mulberry_platform::store::Store;
 use mulberry_policy::endpoint_registry::EndpointRegistry;
+use mulberry_policy::endpoint_registry::KeptEndpoint;
 use mulberry_policy::store_budget::CallClass;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::time::Millis;
 
 use crate::shared::SharedState;
 
@@ -95,6 +98,7 @@
     revision: Option<u64>,
     on_change: &mut impl FnMut(StoreChange),
 ) -> Option<u64> {
+    let started = Instant::now();
     let result = match revision {
         None => list_prefix(store, prefix, on_change).await,
         Some(from) => watch_prefix(store, prefix, from, on_change).await,
@@ -106,7 +110,9 @@
             tokio::time::sleep(Duration::from_millis(retry_ms)).await;
             revision
         }
-        Err(_) => {
+        Err(e) => {
+            log_event!(info, Event::WatchFailed, prefix, revision = revision.unwrap_or(0),
+                waited_ms = started.elapsed().as_millis() as u64, error = %e);
             on_change(StoreChange::Failed);
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             revision
@@ -242,7 +248,7 @@
         StoreChange::Listed(objects) => {
             registry.record_store_response(now);
             let listed = objects.iter().filter_map(|o| parse_endpoint_object(shared, o)).collect();
-            registry.replace_all(listed, now);
+            log_kept(&registry.replace_all(listed, now), now);
         }
         StoreChange::Changed(events) => {
             registry.record_store_response(now);
@@ -259,12 +265,19 @@
                     None => removed.push(EndpointName::new(endpoint_name(shared, &event.object))),
                 }
             }
-            registry.remove_all(&removed, now);
+            log_kept(&registry.remove_all(&removed, now), now);
         }
     }
     publish(shared, registry);
 }
 
+fn log_kept(kept: &[KeptEndpoint], now: Millis) {
+    for KeptEndpoint { name, until, cause } in kept {
+        log_event!(info, Event::EndpointMissing, endpoint = %name, left_ms = until.since(now),
+            cause = cause.as_str());
+    }
+}
+
 fn parse_endpoint_object(shared: &SharedState, object: &Object) -> Option<EndpointRecord> {
     match shared.dialect.parse_endpoint(endpoint_name(shared, object), &object.value) {
         Ok(endpoint) => Some(endpoint),
--- a/crates/mulberry-policy/src/endpoint_registry.rs
+++ b/crates/mulberry-policy/src/endpoint_registry.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use mulberry_protocol::closed_set;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::name::EndpointName;
@@ -23,6 +24,37 @@
 /// Fewest ready endpoints whose disappearance at once counts as a mass loss.
 const MASS_LOSS_MIN: usize = 3;
 
+closed_set! {
+    /// Why endpoints that disappeared stay in use for a while.
+    pub enum GraceCause {
+        /// The store was away.
+        Outage,
+        /// Many disappeared at once.
+        MassLoss,
+    }
+}
+
+impl GraceCause {
+    /// Returns the cause's name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            GraceCause::Outage => "outage",
+            GraceCause::MassLoss => "mass-loss",
+        }
+    }
+}
+
+/// An endpoint that disappeared and stays in use for a grace period.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptEndpoint {
+    /// Name of the endpoint.
+    pub name: EndpointName,
+    /// End of the grace period.
+    pub until: Millis,
+    /// Why it stays in use.
+    pub cause: GraceCause,
+}
+
 /// The registered endpoints that a process knows.
 #[derive(Debug, Default)]
 pub struct EndpointRegistry {
@@ -32,6 +64,7 @@
     missing: IndexMap<EndpointName, Millis>,
     store_unavailable: bool,
     grace_until: Millis,
+    grace_cause: Option<GraceCause>,
     /// When the store last stopped answering, if that is not known to have had no effect yet.
     stale_since: Option<Millis>,
 }
@@ -56,19 +89,20 @@
         if self.store_unavailable {
             self.store_unavailable = false;
             self.grace_until = now + REREGISTRATION_GRACE_MS;
+            self.grace_cause = Some(GraceCause::Outage);
         }
     }
 
     /// Applies a complete list. Known endpoints that are not in it are removed as by
     /// [`Self::remove_all`].
-    pub fn replace_all(&mut self, listed: Vec<EndpointRecord>, now: Millis) {
+    pub fn replace_all(&mut self, listed: Vec<EndpointRecord>, now: Millis) -> Vec<KeptEndpoint> {
         let names: Vec<EndpointName> = listed.iter().map(|e| e.name.clone()).collect();
         let unlisted: Vec<EndpointName> =
             self.endpoints.keys().filter(|n| !names.contains(n)).cloned().collect();
         for endpoint in listed {
             self.put(endpoint);
         }
-        self.remove_all(&unlisted, now);
+        self.remove_all(&unlisted, now)
     }
 
     /// Adds or updates one endpoint.
@@ -78,22 +112,30 @@
     }
 
     /// Removes endpoints that disappeared from the store at the same time. Within a grace period,
-    /// those that were ready stay in use until it ends.
-    pub fn remove_all(&mut self, names: &[EndpointName], now: Millis) {
+    /// those that were ready stay in use until it ends. Returns those that are kept from now on.
+    pub fn remove_all(&mut self, names: &[EndpointName], now: Millis) -> Vec<KeptEndpoint> {
         let ready = self.endpoints.values().filter(|e| e.state == EndpointState::Ready).count();
         let newly_missing =
             names.iter().filter(|n| self.is_ready(n) && !self.missing.contains_key(*n));
         let newly_missing = newly_missing.count();
         if newly_missing >= MASS_LOSS_MIN && newly_missing as f64 > ready as f64 * MASS_LOSS_SHARE {
             self.grace_until = self.grace_until.max(now + REREGISTRATION_GRACE_MS);
+            self.grace_cause = Some(GraceCause::MassLoss);
         }
+        let mut kept = Vec::new();
         for name in names {
-            if self.is_ready(name) && now < self.grace_until {
-                self.missing.entry(name.clone()).or_insert(self.grace_until);
-            } else {
-                self.drop_endpoint(name);
+            let cause = self.grace_cause.filter(|_| self.is_ready(name) && now < self.grace_until);
+            match cause {
+                Some(_) if self.missing.contains_key(name) => {}
+                Some(cause) => {
+                    let until = self.grace_until;
+                    self.missing.insert(name.clone(), until);
+                    kept.push(KeptEndpoint { name: name.clone(), until, cause });
+                }
+                None => self.drop_endpoint(name),
             }
         }
+        kept
     }
 
     /// Drops the endpoints whose grace period is over. Returns whether any was dropped.
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -64,6 +64,8 @@
     PeerFound = 210, "peer found";
     /// A peer's record can't be parsed.
     PeerUnreadable = 211, "peer record can't be read";
+    /// An endpoint's record was removed, but the endpoint stays in use for a grace period.
+    EndpointMissing = 212, "endpoint missing, still used";
     /// The process has put a bundle in force.
     BundleInForce = 300, "bundle in force";
     /// A bundle was ignored, since its number is lower than one already seen.
@@ -130,6 +132,8 @@
     StoreLost = 502, "object API gives no answer";
     /// Pending watches are opened again, since the object API may never answer the old ones.
     WatchesRenewed = 503, "watches renewed";
+    /// A list or watch of the object API failed or was not answered in time.
+    WatchFailed = 504, "list or watch failed";
     /// An engine crashed or broke its streams.
     EngineCrashed = 600, "engine crashed";
     /// A request is confirmed to crash endpoints and will be refused.
