After an outage the store's return is noticed at once, not with the next change

Cause: after the outage the watch was sent again and waited for a change. Its first answer began the grace period for endpoints whose registrations had lapsed; that answer was the removal itself, so that the endpoint got 2.2 s more. Ruled out here: a watch that hangs (the configuration's watch and this one were sent again at 55.08 s) and three removals at once (only this one). Change: after trouble the next call asks for the changes without waiting for one.

--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -49,6 +49,36 @@
     Paused,
 }
 
+/// Where a watch goes on.
+#[derive(Debug, Clone, Copy)]
+enum Position {
+    /// With a list, since nothing is known yet, or too little.
+    Start,
+    /// With the changes after this revision, if any, without waiting for one. The store may have been
+    /// away: its answer tells at once that it is back, and what has changed meanwhile.
+    CatchUp(u64),
+    /// With the first change after this revision.
+    Wait(u64),
+}
+
+impl Position {
+    /// Returns the position after a call that may have failed because the store was away.
+    fn after_trouble(self) -> Self {
+        match self {
+            Position::Start => Position::Start,
+            Position::CatchUp(from) | Position::Wait(from) => Position::CatchUp(from),
+        }
+    }
+
+    /// Returns the revision after which the next call asks for changes; zero for a list.
+    fn revision(self) -> u64 {
+        match self {
+            Position::Start => 0,
+            Position::CatchUp(from) | Position::Wait(from) => from,
+        }
+    }
+}
+
 /// Enables a watch while it holds a value. A new value restarts the watch with a list, because what
 /// was known may be out of date. The sender lives as long as the process.
 pub type WatchGate = watch::Receiver<Option<u64>>;
@@ -62,22 +92,22 @@
     mut renewals: watch::Receiver<u64>,
     mut on_change: impl FnMut(StoreChange),
 ) {
-    let mut revision: Option<u64> = None;
+    let mut position = Position::Start;
     loop {
         let is_open = gate.borrow_and_update().is_some();
         let poll = async {
             if !is_open {
                 return std::future::pending().await;
             }
-            poll_once(store, prefix, revision, &mut on_change).await
+            poll_once(store, prefix, position, &mut on_change).await
         };
         tokio::select! {
-            next = poll => revision = next,
+            next = poll => position = next,
             changed = gate.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                revision = None;
+                position = Position::Start;
                 on_change(StoreChange::Paused);
             }
             // The pending call may never be answered: it is sent again from the same revision.
@@ -85,37 +115,40 @@
                 if renewed.is_err() {
                     return;
                 }
+                position = position.after_trouble();
             }
         }
     }
 }
 
-/// Makes one list or watch call. Returns the revision from which to watch next, or `None` to list
-/// again.
+/// Makes one list or watch call. Returns where to go on.
 async fn poll_once(
     store: &Store,
     prefix: &str,
-    revision: Option<u64>,
+    position: Position,
     on_change: &mut impl FnMut(StoreChange),
-) -> Option<u64> {
+) -> Position {
     let started = Instant::now();
-    let result = match revision {
-        None => list_prefix(store, prefix, on_change).await,
-        Some(from) => watch_prefix(store, prefix, from, on_change).await,
+    let result = match position {
+        Position::Start => list_prefix(store, prefix, on_change).await,
+        Position::CatchUp(from) => watch_prefix(store, prefix, from, 0, on_change).await,
+        Position::Wait(from) => {
+            watch_prefix(store, prefix, from, WATCH_TIMEOUT_MS, on_change).await
+        }
     };
     match result {
-        Ok(next) => Some(next),
-        Err(PlatformError::Compacted) => None,
+        Ok(next) => Position::Wait(next),
+        Err(PlatformError::Compacted) => Position::Start,
         Err(PlatformError::BudgetSpent { retry_ms }) => {
             tokio::time::sleep(Duration::from_millis(retry_ms)).await;
-            revision
+            position
         }
         Err(e) => {
-            log_event!(info, Event::WatchFailed, prefix, revision = revision.unwrap_or(0),
+            log_event!(info, Event::WatchFailed, prefix, revision = position.revision(),
                 waited_ms = started.elapsed().as_millis() as u64, error = %e);
             on_change(StoreChange::Failed);
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-            revision
+            position.after_trouble()
         }
     }
 }
@@ -134,9 +167,10 @@
     store: &Store,
     prefix: &str,
     from: u64,
+    wait_ms: u64,
     on_change: &mut impl FnMut(StoreChange),
 ) -> Result<u64, PlatformError> {
-    let batch = store.watch(prefix, from, WATCH_TIMEOUT_MS).await?;
+    let batch = store.watch(prefix, from, wait_ms).await?;
     if batch.events.is_empty() {
         on_change(StoreChange::Unchanged);
     } else {
