A watch that is not answered is noticed within 1.1 s, and is no outage

Cause: a watch waited 10 s for a change and was given up 1.5 s later; nothing else tells a process that its answer is lost. The same changes were then asked for again, with an answer that could get lost again. And one lost answer counted as an outage, so that a removed endpoint got the grace period of 2.2 s on top. Change: watches wait 0.8 s and are given up 0.25 s later, or later if the store is slow (the adaptive timeout of the other calls); a lost answer leads to a list at once; a grace period begins only if nothing came from the store for 2 s, the shortest time in which registrations can lapse. Weighed: peers that tell of changes, so that waits can be long. It does not hold for a process that hears nobody, and not where all watches hang.

--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -21,8 +21,9 @@
 
 use crate::shared::SharedState;
 
-/// Longest time for which the store holds a watch call that has no events, in milliseconds.
-pub const WATCH_TIMEOUT_MS: u64 = 10_000;
+/// Longest time for which the store holds a watch call that has no events, in milliseconds. The answer
+/// may get lost without a trace, and endpoints that leave serve on for two seconds only.
+const WATCH_WAIT_MS: u64 = 800;
 
 /// Delay after a failed call, in milliseconds, in addition to the backoff of the store budget.
 const RETRY_DELAY_MS: u64 = 150;
@@ -70,6 +71,16 @@
         }
     }
 
+    /// Returns the position after this error. Where an answer was lost, the next one with the same
+    /// changes may get lost too, so that they are listed.
+    fn after_error(self, error: &PlatformError) -> Self {
+        match error {
+            PlatformError::Compacted | PlatformError::NoAnswer { .. } => Position::Start,
+            PlatformError::BudgetSpent { .. } => self,
+            _ => self.after_trouble(),
+        }
+    }
+
     /// Returns the revision after which the next call asks for changes; zero for a list.
     fn revision(self) -> u64 {
         match self {
@@ -132,25 +143,31 @@
     let result = match position {
         Position::Start => list_prefix(store, prefix, on_change).await,
         Position::CatchUp(from) => watch_prefix(store, prefix, from, 0, on_change).await,
-        Position::Wait(from) => {
-            watch_prefix(store, prefix, from, WATCH_TIMEOUT_MS, on_change).await
-        }
+        Position::Wait(from) => watch_prefix(store, prefix, from, WATCH_WAIT_MS, on_change).await,
     };
-    match result {
-        Ok(next) => Position::Wait(next),
-        Err(PlatformError::Compacted) => Position::Start,
-        Err(PlatformError::BudgetSpent { retry_ms }) => {
-            tokio::time::sleep(Duration::from_millis(retry_ms)).await;
-            position
+    let error = match result {
+        Ok(next) => return Position::Wait(next),
+        Err(e) => e,
+    };
+    match (&error, position) {
+        (PlatformError::Compacted, _) => {}
+        (PlatformError::BudgetSpent { retry_ms }, _) => {
+            tokio::time::sleep(Duration::from_millis(*retry_ms)).await;
         }
-        Err(e) => {
+        _ => {
             log_event!(info, Event::WatchFailed, prefix, revision = position.revision(),
-                waited_ms = started.elapsed().as_millis() as u64, error = %e);
+                waited_ms = started.elapsed().as_millis() as u64, error = %error);
             on_change(StoreChange::Failed);
-            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-            position.after_trouble()
         }
     }
+    let next = position.after_error(&error);
+    // A lost answer has taken long enough.
+    let is_lost_watch =
+        matches!((position, next), (Position::CatchUp(_) | Position::Wait(_), Position::Start));
+    if !is_lost_watch && !matches!(error, PlatformError::BudgetSpent { .. }) {
+        tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+    }
+    next
 }
 
 async fn list_prefix(
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -42,6 +42,10 @@
 /// Most attempts with an adaptive timeout, where each wait for a response is short.
 const ADAPTIVE_RESOLVE_ATTEMPTS: u32 = 6;
 
+/// Shortest time that a watch may take beyond the wait it asks for, with an adaptive timeout, in
+/// milliseconds.
+const MIN_WATCH_MARGIN_MS: u64 = 250;
+
 /// Objects in one page of a list without values.
 const PAGE_OBJECTS: u32 = 1_000;
 
@@ -147,6 +151,33 @@
         }
     }
 
+    /// Waits for the response to a watch, which may take `wait_ms` longer than that to another call.
+    async fn with_watch_timeout<T>(
+        &self,
+        wait_ms: u64,
+        response: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        let Some(adaptive) = &self.adaptive_timeout else { return response.await };
+        let lock = || adaptive.lock().unwrap_or_else(PoisonError::into_inner);
+        let margin_ms = lock().timeout_ms().max(MIN_WATCH_MARGIN_MS);
+        let started = self.clock.now();
+        let timeout = Duration::from_millis(wait_ms + margin_ms);
+        match tokio::time::timeout(timeout, response).await {
+            Ok(result) => {
+                let elapsed_ms = self.clock.now().since(started);
+                if elapsed_ms >= wait_ms {
+                    lock().record_response(elapsed_ms - wait_ms);
+                }
+                result
+            }
+            Err(_) => {
+                lock().record_timeout();
+                let detail = "no answer in time".to_owned();
+                Err(PlatformError::NoAnswer { call: "watch", detail })
+            }
+        }
+    }
+
     /// Counts a call, updates the budget's backoff by its result, and logs when the store starts to
     /// fail and when it responds again.
     fn record_result<T>(&self, call: &'static str, result: &Result<T, PlatformError>) {
@@ -296,7 +327,8 @@
         wait_ms: u64,
     ) -> Result<WatchBatch, PlatformError> {
         self.budget.acquire(CallClass::Lease, false).await?;
-        let result = self.api.watch(prefix, revision, wait_ms).await;
+        let response = self.api.watch(prefix, revision, wait_ms);
+        let result = self.budget.with_watch_timeout(wait_ms, response).await;
         self.budget.record_result("watch", &result);
         result
     }
--- a/crates/mulberry-policy/src/endpoint_registry.rs
+++ b/crates/mulberry-policy/src/endpoint_registry.rs
@@ -1,7 +1,7 @@
 //! Keeps the endpoints that are registered in the store, with a grace period for those that
 //! disappear.
 //!
-//! Registrations expire while the store is unavailable, although their endpoints still run. Such
+//! Registrations expire while the store is unavailable for long, although their endpoints still run. Such
 //! endpoints stay in use for a grace period after the store's recovery, in which they can register
 //! again. The same grace period applies when many ready endpoints disappear at once, which is more
 //! likely a fault of the store than of the endpoints.
@@ -18,6 +18,10 @@
 /// again, in milliseconds.
 pub const REREGISTRATION_GRACE_MS: u64 = 2_200;
 
+/// Time without a response of the store from which registrations may have lapsed meanwhile, in
+/// milliseconds. They lapse after several missed heartbeats, the first of which may be due at once.
+pub const MIN_OUTAGE_MS: u64 = 2_000;
+
 /// Share of the ready endpoints above which a disappearance at once counts as a mass loss.
 const MASS_LOSS_SHARE: f64 = 0.25;
 
@@ -63,6 +67,8 @@
     /// period.
     missing: IndexMap<EndpointName, Millis>,
     store_unavailable: bool,
+    /// When the store last answered.
+    answered_at: Option<Millis>,
     grace_until: Millis,
     grace_cause: Option<GraceCause>,
     /// When the store last stopped answering, if that is not known to have had no effect yet.
@@ -84,10 +90,13 @@
         self.stale_since.filter(|_| self.store_unavailable || now < self.grace_until)
     }
 
-    /// Records a response of the store. The first one after a failure begins the grace period.
+    /// Records a response of the store. The first one after an outage in which registrations may have
+    /// lapsed begins the grace period; a single lost answer is none.
     pub fn record_store_response(&mut self, now: Millis) {
-        if self.store_unavailable {
-            self.store_unavailable = false;
+        let answered_at = self.answered_at.replace(now);
+        let was_unavailable = std::mem::replace(&mut self.store_unavailable, false);
+        let is_outage = answered_at.is_none_or(|at| now.since(at) >= MIN_OUTAGE_MS);
+        if was_unavailable && is_outage {
             self.grace_until = now + REREGISTRATION_GRACE_MS;
             self.grace_cause = Some(GraceCause::Outage);
         }
--- a/crates/mulberry-policy/tests/endpoint_registry.rs
+++ b/crates/mulberry-policy/tests/endpoint_registry.rs
@@ -1,6 +1,7 @@
 //! Endpoints that disappear from the store: during an outage, one by one, and many at once.
 
 use mulberry_policy::endpoint_registry::EndpointRegistry;
+use mulberry_policy::endpoint_registry::MIN_OUTAGE_MS;
 use mulberry_policy::endpoint_registry::REREGISTRATION_GRACE_MS;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
@@ -58,6 +59,30 @@
             ],
             remaining: &[0, 1, 2, 3, 4, 5, 6, 7],
         },
+        Case {
+            name: "a lost answer is no outage in which registrations lapse",
+            steps: &[
+                Step::StoreAnswers,
+                Step::AdvanceMs(MIN_OUTAGE_MS - 1),
+                Step::StoreFails,
+                Step::StoreAnswers,
+                Step::Remove(&[1]),
+            ],
+            remaining: &[0, 2, 3, 4, 5, 6, 7],
+        },
+        Case {
+            name: "several lost answers may hide one",
+            steps: &[
+                Step::StoreAnswers,
+                Step::AdvanceMs(1_000),
+                Step::StoreFails,
+                Step::AdvanceMs(1_000),
+                Step::StoreFails,
+                Step::StoreAnswers,
+                Step::Remove(&[1]),
+            ],
+            remaining: &[0, 1, 2, 3, 4, 5, 6, 7],
+        },
         Case {
             name: "those that have not registered again by its end are dropped",
             steps: &[
