Endpoints that are removed at once are kept for less time than they serve on

Cause: three endpoints or more, and a quarter of all, that are removed at once count as a fault of the store and were kept for 2.2 s and up to 0.2 s more. Endpoints that leave without being drained serve on for 2 s and a little. Change: 1.5 s, a constant of its own. The grace period after an outage stays at 2.2 s: it begins at the store's return, and the rule counts from 3 s after that. Class: a grace period that is measured from when something was noticed, and compared with no other bound.

--- a/crates/mulberry-policy/src/endpoint_registry.rs
+++ b/crates/mulberry-policy/src/endpoint_registry.rs
@@ -3,7 +3,7 @@
 //!
 //! Registrations expire while the store is unavailable for long, although their endpoints still run. Such
 //! endpoints stay in use for a grace period after the store's recovery, in which they can register
-//! again. The same grace period applies when many ready endpoints disappear at once, which is more
+//! again. A shorter grace period applies when many ready endpoints disappear at once, which is more
 //! likely a fault of the store than of the endpoints.
 
 use indexmap::IndexMap;
@@ -14,10 +14,13 @@
 use mulberry_protocol::name::EndpointName;
 use mulberry_protocol::time::Millis;
 
-/// Time after the store's recovery, or after a mass loss, in which a missing endpoint may register
-/// again, in milliseconds.
+/// Time after the store's recovery in which a missing endpoint may register again, in milliseconds.
 pub const REREGISTRATION_GRACE_MS: u64 = 2_200;
 
+/// Time for which endpoints that disappear at once stay in use, in milliseconds. If they were really
+/// removed, they serve on for little longer.
+pub const MASS_LOSS_GRACE_MS: u64 = 1_500;
+
 /// Time without a response of the store from which registrations may have lapsed meanwhile, in
 /// milliseconds. They lapse after several missed heartbeats, the first of which may be due at once.
 pub const MIN_OUTAGE_MS: u64 = 2_000;
@@ -128,7 +131,7 @@
             names.iter().filter(|n| self.is_ready(n) && !self.missing.contains_key(*n));
         let newly_missing = newly_missing.count();
         if newly_missing >= MASS_LOSS_MIN && newly_missing as f64 > ready as f64 * MASS_LOSS_SHARE {
-            self.grace_until = self.grace_until.max(now + REREGISTRATION_GRACE_MS);
+            self.grace_until = self.grace_until.max(now + MASS_LOSS_GRACE_MS);
             self.grace_cause = Some(GraceCause::MassLoss);
         }
         let mut kept = Vec::new();
--- a/crates/mulberry-policy/tests/endpoint_registry.rs
+++ b/crates/mulberry-policy/tests/endpoint_registry.rs
@@ -1,6 +1,7 @@
 //! Endpoints that disappear from the store: during an outage, one by one, and many at once.
 
 use mulberry_policy::endpoint_registry::EndpointRegistry;
+use mulberry_policy::endpoint_registry::MASS_LOSS_GRACE_MS;
 use mulberry_policy::endpoint_registry::MIN_OUTAGE_MS;
 use mulberry_policy::endpoint_registry::REREGISTRATION_GRACE_MS;
 use mulberry_protocol::endpoint::EndpointRecord;
@@ -119,7 +120,7 @@
             steps: &[
                 Step::StoreAnswers,
                 Step::Remove(&[0, 1, 2]),
-                Step::AdvanceMs(REREGISTRATION_GRACE_MS),
+                Step::AdvanceMs(MASS_LOSS_GRACE_MS),
             ],
             remaining: &[3, 4, 5, 6, 7],
         },
