--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -24,6 +24,7 @@
 
 use crate::connection::probe_after_break;
 use crate::fingerprint::fingerprint_text;
+use crate::fingerprint::parts_text;
 use crate::shared::SharedState;
 use crate::shared::lock;
 
@@ -41,6 +42,19 @@
     Run { fingerprint, service: &endpoint.service, endpoint: endpoint.load_key(), sent_at }
 }
 
+/// A run that broke, perhaps since its endpoint crashed.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashedRun<'a> {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Fingerprints of the parts of its prompt that other requests may have too.
+    pub parts: &'a [u64],
+    /// The endpoint.
+    pub endpoint: &'a EndpointRecord,
+    /// When the request was sent there.
+    pub sent_at: Millis,
+}
+
 impl SharedState {
     /// Locks the requests that are suspected or known to crash endpoints.
     pub fn crash_suspects(&self) -> MutexGuard<'_, CrashSuspects> {
@@ -101,40 +115,23 @@
         ending.judge(evidence == CrashEvidence::Refused)
     }
 
-    /// Records that an endpoint ended the connection while it had a request, which was sent at
-    /// `sent_at`. Probes the endpoint to see whether its process has ended. Returns whether the crash
-    /// counts, as no other break of the same is known.
-    pub async fn record_crash(
-        &self,
-        fingerprint: u64,
-        endpoint: &EndpointRecord,
-        sent_at: Millis,
-    ) -> bool {
-        let evidence = probe_after_break(endpoint.address).await;
-        self.record_break(fingerprint, endpoint, sent_at, evidence)
-    }
-
-    /// Records that a run of a request broke, which was sent at `sent_at`, with this evidence of a
-    /// crash. Returns whether the crash counts, as no other break of the same is known.
-    pub fn record_break(
-        &self,
-        fingerprint: u64,
-        endpoint: &EndpointRecord,
-        sent_at: Millis,
-        evidence: CrashEvidence,
-    ) -> bool {
+    /// Records that a run broke, with this evidence of a crash. Returns whether the crash counts, as no
+    /// other break of the same is known.
+    pub fn record_break(&self, run: CrashedRun<'_>, evidence: CrashEvidence) -> bool {
+        let CrashedRun { fingerprint, parts, endpoint, sent_at } = run;
         let now = self.clock.now();
         let run = endpoint_run(fingerprint, endpoint, sent_at);
         let recorded = self.crash_suspects().record_crash(run, evidence, now);
         let Some(verdict) = recorded else {
             self.metrics.count("direct.crashes_not_counted");
             log_event!(info, Event::CrashNotCounted, fingerprint = fingerprint_text(fingerprint),
-                endpoint = %endpoint.name, after = ?evidence);
+                prompt = parts_text(parts), endpoint = %endpoint.name, after = ?evidence);
             return false;
         };
         self.metrics.count("direct.crashes_counted");
         log_event!(info, Event::CrashCounted, fingerprint = fingerprint_text(fingerprint),
-            endpoint = %endpoint.name, after = ?evidence, crashes = verdict.crashes);
+            prompt = parts_text(parts), endpoint = %endpoint.name, after = ?evidence,
+            crashes = verdict.crashes);
         if verdict.newly_convicted {
             self.report_conviction(verdict, None);
         }
--- a/crates/mulberry-direct/src/dialect.rs
+++ b/crates/mulberry-direct/src/dialect.rs
@@ -42,6 +42,8 @@
     pub leaving: HeaderName,
     /// Marks a response whose request did not run.
     pub not_run: HeaderName,
+    /// Parts of a request's prompt, in order.
+    pub prompt: HeaderName,
     /// Longest time for which a read of results may wait for new ones, in milliseconds.
     pub wait_ms: HeaderName,
 }
@@ -82,6 +84,10 @@
     /// is not that of a job.
     fn parse_job_request(&self, method: &str, path: &str, query: &str) -> Option<JobRequest>;
 
+    /// Returns the IDs of the parts in the value of the header [`HeaderNames::prompt`] which other requests
+    /// may have too.
+    fn parse_shared_parts<'a>(&self, value: &'a str) -> Vec<&'a str>;
+
     /// Returns the store key of the configuration.
     fn configuration_key(&self) -> &'static str;
 
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -31,6 +31,7 @@
 use crate::dialect::JobRequest;
 use crate::exchange::strip_hop_headers;
 use crate::fingerprint::online_fingerprint;
+use crate::fingerprint::part_fingerprints;
 use crate::job_calls::JobCall;
 use crate::job_calls::JobClient;
 use crate::job_calls::JobReply;
@@ -138,7 +139,10 @@
     let target = req.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
     let address = req.peer_addr().map(|a| a.ip());
     let host = host_without_port(req);
+    let prompt = text_header(req, &shared.dialect.headers().prompt);
+    let part_ids = prompt.as_deref().map(|value| shared.dialect.parse_shared_parts(value));
     let caller = CallerRequest {
+        parts: part_fingerprints(&part_ids.unwrap_or_default()),
         route,
         version: configuration.version,
         fingerprint: online_fingerprint(&method, host, &target, &body, address),
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -43,6 +43,7 @@
 use crate::exchange::ExchangeError;
 use crate::exchange::exchange;
 use crate::fingerprint::fingerprint_text;
+use crate::fingerprint::parts_text;
 use crate::origins::make_certain;
 use crate::run_watch::RunWatch;
 use crate::shared::LoadGuard;
@@ -72,6 +73,8 @@
     pub request_id: HeaderValue,
     /// Fingerprint, which stays the same when the caller sends the request again under another ID.
     pub fingerprint: u64,
+    /// Fingerprints of the parts of its prompt that other requests may have too.
+    pub parts: Arc<[u64]>,
     /// The buffered body, which is sent again at each attempt.
     pub body: Bytes,
     /// Deadline of the response.
@@ -271,7 +274,7 @@
         };
         let left_ms = req.due.since(self.shared.clock.now());
         let (shared, pool) = (self.shared.clone(), self.pool.clone());
-        let watch = RunWatch::start(shared, pool, req.fingerprint, endpoint.clone());
+        let watch = RunWatch::start(shared, pool, req, endpoint.clone());
         let mut request = self.endpoint_request(req, endpoint, left_ms, resume_after)?;
         request.min_held_ms = min_held_ms;
         let may_fail_over = req.route.kind == RouteKind::Idempotent && attempt < req.route.attempts;
@@ -430,6 +433,7 @@
             run = refusal.run.as_str(),
             detail = refusal.detail,
             fingerprint = fingerprint_text(req.fingerprint),
+            prompt = parts_text(&req.parts),
             broke = failure.cause.map_or("", BreakCause::as_str),
             verdict = ?decision,
             left_ms = req.due.since(self.shared.clock.now())
--- a/crates/mulberry-direct/src/run_watch.rs
+++ b/crates/mulberry-direct/src/run_watch.rs
@@ -11,7 +11,11 @@
 use mulberry_protocol::time::Millis;
 
 use crate::connection::ConnectionPool;
+use crate::connection::probe_after_break;
+use crate::crashes::CrashedRun;
 use crate::fingerprint::fingerprint_text;
+use crate::fingerprint::parts_text;
+use crate::relay::CallerRequest;
 use crate::shared::SharedState;
 
 /// Time without a byte from an endpoint after which it counts as silent.
@@ -23,6 +27,7 @@
     shared: Arc<SharedState>,
     pool: ConnectionPool,
     fingerprint: u64,
+    parts: Arc<[u64]>,
     endpoint: EndpointRecord,
     sent_at: Millis,
     sent: Instant,
@@ -34,12 +39,13 @@
     pub fn start(
         shared: Arc<SharedState>,
         pool: ConnectionPool,
-        fingerprint: u64,
+        req: &CallerRequest,
         endpoint: EndpointRecord,
     ) -> Self {
+        let (fingerprint, parts) = (req.fingerprint, req.parts.clone());
         let sent_at = shared.clock.now();
         let sent = Instant::now();
-        Self { shared, pool, fingerprint, endpoint, sent_at, sent, is_open: true }
+        Self { shared, pool, fingerprint, parts, endpoint, sent_at, sent, is_open: true }
     }
 
     /// Returns when the run was sent.
@@ -61,7 +67,18 @@
     /// Records that the endpoint ended the connection before the end of the run.
     pub async fn record_crash(&mut self) {
         self.is_open = false;
-        self.shared.record_crash(self.fingerprint, &self.endpoint, self.sent_at).await;
+        let evidence = probe_after_break(self.endpoint.address).await;
+        self.record_break(evidence);
+    }
+
+    fn record_break(&self, evidence: CrashEvidence) {
+        let run = CrashedRun {
+            fingerprint: self.fingerprint,
+            parts: &self.parts,
+            endpoint: &self.endpoint,
+            sent_at: self.sent_at,
+        };
+        self.shared.record_break(run, evidence);
     }
 
     /// Records that the run ended in a way that says nothing of a crash.
@@ -81,9 +98,8 @@
         }
         self.shared.metrics.count("direct.runs_unanswered");
         log_event!(info, Event::RunUnanswered, fingerprint = fingerprint_text(self.fingerprint),
-            endpoint = %self.endpoint.name, span_ms = self.sent.elapsed().as_millis() as u64,
+            prompt = parts_text(&self.parts), endpoint = %self.endpoint.name, span_ms = self.sent.elapsed().as_millis() as u64,
             silent_ms = silence.as_millis() as u64);
-        let (fingerprint, sent_at) = (self.fingerprint, self.sent_at);
-        self.shared.record_break(fingerprint, &self.endpoint, sent_at, CrashEvidence::Silent);
+        self.record_break(CrashEvidence::Silent);
     }
 }
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -25,6 +25,7 @@
 use crate::connection::BreakCause;
 use crate::exchange::ExchangeError;
 use crate::fingerprint::fingerprint_text;
+use crate::fingerprint::parts_text;
 use crate::origins::make_certain;
 use crate::origins::origin_of;
 use crate::relay::CallerRequest;
@@ -277,6 +278,7 @@
             framing = self.open.response.framing.as_str(),
             position = self.end.position().as_str(),
             fingerprint = fingerprint_text(self.req.fingerprint),
+            prompt = parts_text(&self.req.parts),
             broke = cause.map_or("", BreakCause::as_str),
             detail
         );
