Crashes are also told by way of the store where processes don't hear each other

Cause: crashes travel in heartbeats only. Where entries don't hear each other, each convicts for itself: three crashes for each of five entries, and a trial. Change: a process that does not hear a registered peer for 2.5 s also publishes its recent suspects in the store, and all watch what is published.

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -198,7 +198,7 @@
 
     /// Logs and counts a request that this process refuses from now on; `peer` is the process whose
     /// report decided it, if it was not this one's own observation.
-    fn report_conviction(&self, verdict: CrashVerdict, peer: Option<&EntryName>) {
+    pub(crate) fn report_conviction(&self, verdict: CrashVerdict, peer: Option<&EntryName>) {
         let source = if peer.is_some() { "peer" } else { "own" };
         self.metrics.count_reason("direct.requests_convicted", source);
         log_event!(
--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -26,6 +26,8 @@
 use crate::peers::maintain_membership;
 use crate::peers::receive_heartbeats;
 use crate::peers::send_heartbeats;
+use crate::published_suspects::publish_suspects;
+use crate::published_suspects::watch_published_suspects;
 use crate::shared::SharedState;
 use crate::store_watch::watch_configuration;
 use crate::store_watch::watch_endpoints;
@@ -91,6 +93,9 @@
     actix_rt::spawn(maintain_membership(shared.clone(), store.clone(), PeerRole::Entry));
     actix_rt::spawn(receive_heartbeats(shared.clone(), socket.clone(), |_| {}));
     actix_rt::spawn(serve_trials(shared.clone(), store.clone()));
+    actix_rt::spawn(publish_suspects(shared.clone(), store.clone()));
+    let published = watch_published_suspects(shared.clone(), store.clone(), gate.subscribe());
+    actix_rt::spawn(published);
     actix_rt::spawn(send_heartbeats(shared.clone(), store, socket, PeerRole::Entry, || None));
     wait_for_signal().await;
     drain(&shared, server).await;
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod origins;
 pub mod owner;
 pub mod peers;
+pub mod published_suspects;
 pub mod relay;
 pub mod run_watch;
 pub mod settings;
--- a/crates/mulberry-direct/src/owner/drain.rs
+++ b/crates/mulberry-direct/src/owner/drain.rs
@@ -12,6 +12,7 @@
 use crate::owner::Owner;
 use crate::owner::commit::flush_results;
 use crate::owner::lease::release_lease;
+use crate::store_watch::RELAXED_PACE;
 use crate::store_watch::StoreChange;
 use crate::store_watch::list_and_watch;
 
@@ -24,7 +25,7 @@
     let vm_name = |key: &str| key.strip_prefix(prefix).unwrap_or(key).to_owned();
     let (owned_generation, renewals) =
         (owner.owned_generation.subscribe(), owner.shared.renewals.subscribe());
-    list_and_watch(&owner.store, prefix, owned_generation, renewals, |change| {
+    list_and_watch(&owner.store, prefix, RELAXED_PACE, owned_generation, renewals, |change| {
         let mut state = owner.state.borrow_mut();
         match change {
             StoreChange::Listed(objects) => {
--- a/crates/mulberry-direct/src/owner/process.rs
+++ b/crates/mulberry-direct/src/owner/process.rs
@@ -32,6 +32,7 @@
 use crate::peers::maintain_membership;
 use crate::peers::receive_heartbeats;
 use crate::peers::send_heartbeats;
+use crate::published_suspects::watch_published_suspects;
 use crate::shared::SharedState;
 use crate::store_watch::watch_configuration;
 use crate::store_watch::watch_endpoints;
@@ -64,6 +65,13 @@
     ));
 }
 
+/// Reads what processes publish that this one may not hear, so that their convictions are stored, while
+/// this process holds the lease.
+fn watch_published_while_owner(owner: &Rc<Owner>) {
+    let gate = owner.owned_generation.subscribe();
+    actix_rt::spawn(watch_published_suspects(owner.shared.clone(), owner.store.clone(), gate));
+}
+
 /// Runs an owner on the calling thread until a stop signal arrives and the lease is handed over.
 pub async fn run_owner(shared: Arc<SharedState>, store: Store) -> Result<(), StartError> {
     let address = shared.settings.peers;
@@ -76,6 +84,7 @@
         peers = %address);
     let owner = Owner::new(shared.clone(), store.clone());
     watch_while_owner(&owner);
+    watch_published_while_owner(&owner);
     actix_rt::spawn(maintain_membership(shared.clone(), store.clone(), PeerRole::Owner));
     let claims = owner.clone();
     actix_rt::spawn(receive_heartbeats(shared.clone(), socket.clone(), move |claim| {
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -138,7 +138,8 @@
         return;
     }
     log_event!(info, Event::PeerFound, peer = %member.name, address = %member.address);
-    let peer = Peer { member: member.clone(), heard_at: None, owner: None };
+    let peer =
+        Peer { member: member.clone(), found_at: shared.clock.now(), heard_at: None, owner: None };
     peers.insert(member.name, peer);
 }
 
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -53,6 +53,8 @@
 pub struct Peer {
     /// Name, role and address of the peer.
     pub member: Member,
+    /// When this process learned of it.
+    pub found_at: Millis,
     /// When its last heartbeat arrived; `None` before the first.
     pub heard_at: Option<Millis>,
     /// The claim to own the batch jobs in its last heartbeat.
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -32,6 +32,21 @@
 /// succession arrive with one call.
 const COALESCE_DELAY_MS: u64 = 400;
 
+/// How soon a watch must notice changes, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchPace {
+    /// Longest time for which the store holds a call that has no events. A lost answer costs as much.
+    pub wait_ms: u64,
+    /// Delay between a change and the next call.
+    pub coalesce_ms: u64,
+}
+
+/// Pace of watches on which callers' requests depend within seconds.
+const PROMPT_PACE: WatchPace = WatchPace { wait_ms: WATCH_WAIT_MS, coalesce_ms: COALESCE_DELAY_MS };
+
+/// Pace of watches whose changes may come late now and then.
+pub const RELAXED_PACE: WatchPace = WatchPace { wait_ms: 10_000, coalesce_ms: COALESCE_DELAY_MS };
+
 /// Interval at which missing endpoints are checked for the end of their grace period, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 200;
@@ -99,6 +114,7 @@
 pub async fn list_and_watch(
     store: &Store,
     prefix: &str,
+    pace: WatchPace,
     mut gate: WatchGate,
     mut renewals: watch::Receiver<u64>,
     mut on_change: impl FnMut(StoreChange),
@@ -110,7 +126,7 @@
             if !is_open {
                 return std::future::pending().await;
             }
-            poll_once(store, prefix, position, &mut on_change).await
+            poll_once(store, prefix, pace, position, &mut on_change).await
         };
         tokio::select! {
             next = poll => position = next,
@@ -136,14 +152,18 @@
 async fn poll_once(
     store: &Store,
     prefix: &str,
+    pace: WatchPace,
     position: Position,
     on_change: &mut impl FnMut(StoreChange),
 ) -> Position {
     let started = Instant::now();
     let result = match position {
         Position::Start => list_prefix(store, prefix, on_change).await,
-        Position::CatchUp(from) => watch_prefix(store, prefix, from, 0, on_change).await,
-        Position::Wait(from) => watch_prefix(store, prefix, from, WATCH_WAIT_MS, on_change).await,
+        Position::CatchUp(from) => {
+            let at_once = WatchPace { wait_ms: 0, ..pace };
+            watch_prefix(store, prefix, at_once, from, on_change).await
+        }
+        Position::Wait(from) => watch_prefix(store, prefix, pace, from, on_change).await,
     };
     let error = match result {
         Ok(next) => return Position::Wait(next),
@@ -183,16 +203,16 @@
 async fn watch_prefix(
     store: &Store,
     prefix: &str,
+    pace: WatchPace,
     from: u64,
-    wait_ms: u64,
     on_change: &mut impl FnMut(StoreChange),
 ) -> Result<u64, PlatformError> {
-    let batch = store.watch(prefix, from, wait_ms).await?;
+    let batch = store.watch(prefix, from, pace.wait_ms).await?;
     if batch.events.is_empty() {
         on_change(StoreChange::Unchanged);
     } else {
         on_change(StoreChange::Changed(batch.events));
-        tokio::time::sleep(Duration::from_millis(COALESCE_DELAY_MS)).await;
+        tokio::time::sleep(Duration::from_millis(pace.coalesce_ms)).await;
     }
     Ok(batch.revision.max(from))
 }
@@ -208,7 +228,7 @@
     let key = shared.dialect.configuration_key();
     let prefix = key.split_inclusive('/').next().unwrap_or(key);
     let renewals = shared.renewals.subscribe();
-    list_and_watch(&store, prefix, gate, renewals, |change| match change {
+    list_and_watch(&store, prefix, PROMPT_PACE, gate, renewals, |change| match change {
         StoreChange::Listed(objects) => {
             objects.iter().filter(|o| o.key == key).for_each(|o| apply_configuration(&shared, o));
             on_list();
@@ -271,7 +291,7 @@
     };
     let prefix = shared.dialect.endpoint_prefix();
     let renewals = shared.renewals.subscribe();
-    let watch = list_and_watch(&store, prefix, gate, renewals, |change| {
+    let watch = list_and_watch(&store, prefix, PROMPT_PACE, gate, renewals, |change| {
         let is_list = matches!(change, StoreChange::Listed(_));
         apply_endpoints(&shared, &mut registry.borrow_mut(), change);
         if is_list {
--- a/crates/mulberry-policy/src/crash_suspects/crash.rs
+++ b/crates/mulberry-policy/src/crash_suspects/crash.rs
@@ -12,6 +12,10 @@
 /// Difference between the times that two heartbeats give for the same crash, in milliseconds.
 const SAME_TELLING_MS: u64 = 250;
 
+/// The same where one of the tellings came by way of the store, in milliseconds: its times are off by
+/// the time on the way.
+const SAME_PUBLISHED_MS: u64 = 2_500;
+
 /// How a run broke, and what its endpoint did then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashEvidence {
@@ -47,6 +51,8 @@
     pub(super) at: Millis,
     /// Whether the endpoint refused connections then.
     pub(super) is_refused: bool,
+    /// Whether the times are those of a published suspect.
+    pub(super) is_rough: bool,
 }
 
 impl Crash {
@@ -56,6 +62,7 @@
             sent_at: run.sent_at,
             at: now,
             is_refused: evidence == CrashEvidence::Refused,
+            is_rough: false,
         }
     }
 
@@ -66,6 +73,7 @@
             sent_at: now - u64::from(seen.sent_ms_ago),
             at: now - u64::from(seen.broke_ms_ago),
             is_refused: seen.is_refused,
+            is_rough: false,
         }
     }
 
@@ -80,7 +88,9 @@
 
     /// Returns whether the other one is the same, as told by another process or at another time.
     pub(super) fn is_same_telling(&self, other: &Crash) -> bool {
-        self.endpoint == other.endpoint && self.distance_ms(other) < SAME_TELLING_MS
+        let tolerance_ms =
+            if self.is_rough || other.is_rough { SAME_PUBLISHED_MS } else { SAME_TELLING_MS };
+        self.endpoint == other.endpoint && self.distance_ms(other) < tolerance_ms
     }
 
     /// Returns whether the other one is of the same endpoint, which may not have been back between. One
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -52,6 +52,9 @@
 /// The same where endpoints only ended connections or fell silent.
 const UNCLEAR_CRASHES_WITHOUT_RETRY: usize = 4;
 
+/// Most suspects that a process publishes at a time.
+const MAX_PUBLISHED_SUSPECTS: usize = 64;
+
 /// Most convictions that are stored. More of them are hardly single requests at fault.
 const MAX_STORED_CONVICTIONS: usize = 64;
 
@@ -208,11 +211,22 @@
             return Vec::new();
         }
         self.last_merged.insert(sender.name.clone(), (sender.incarnation, sender.sequence));
-        let merged = told.iter().filter_map(|t| self.merge_one(t, now));
+        let merged = told.iter().filter_map(|t| self.merge_one(t, false, now));
         merged.filter(|v| v.newly_convicted).collect()
     }
 
-    fn merge_one(&mut self, told: &ToldSuspect, now: Millis) -> Option<CrashVerdict> {
+    /// Merges the suspects that a peer has just published. Returns those that are convicted from now on.
+    pub fn merge_published(&mut self, told: &[ToldSuspect], now: Millis) -> Vec<CrashVerdict> {
+        let merged = told.iter().filter_map(|t| self.merge_one(t, true, now));
+        merged.filter(|v| v.newly_convicted).collect()
+    }
+
+    fn merge_one(
+        &mut self,
+        told: &ToldSuspect,
+        is_rough: bool,
+        now: Millis,
+    ) -> Option<CrashVerdict> {
         let ToldSuspect { suspect, detail, is_part } = told;
         let says_nothing = |d: &SuspectDetail| d.crashes.is_empty() && d.trials == 0;
         let is_unknown = self.live(suspect.fingerprint, now).is_none();
@@ -229,7 +243,7 @@
                 record.void_before(now - u64::from(completed_ms_ago), now);
             }
             for seen in &detail.crashes {
-                record.add_crash(Crash::from_seen(seen, now), now);
+                record.add_crash(Crash { is_rough, ..Crash::from_seen(seen, now) }, now);
             }
             record.is_proven |= detail.is_proven && !record.crashes.is_empty();
             record.merge_trials(detail, now);
@@ -294,6 +308,18 @@
         sent
     }
 
+    /// Returns what to publish for peers that don't hear this process: what changed lately, the latest
+    /// changes first.
+    pub fn suspects_to_publish(&self, now: Millis) -> Vec<ToldSuspect> {
+        let is_own = |r: &&Record| r.crashes.iter().any(|c| !c.is_rough) || r.trials > 0;
+        let is_recent = |r: &&Record| now.since(r.changed_at) <= SEND_CHANGES_MS;
+        let mut recent: Vec<_> =
+            self.records.iter().filter(|(_, r)| is_recent(r) && is_own(r)).collect();
+        recent.sort_by_key(|(_, r)| std::cmp::Reverse(r.changed_at));
+        let latest = recent.into_iter().take(MAX_PUBLISHED_SUSPECTS);
+        latest.map(|(fingerprint, record)| tell(*fingerprint, record, now)).collect()
+    }
+
     /// Drops expired records.
     pub fn remove_expired(&mut self, now: Millis) {
         self.records.retain(|_, r| r.expires_at() >= now);
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -244,7 +244,9 @@
     /// recent any more.
     pub(super) fn to_detail(&self, with_crashes: bool, now: Millis) -> SuspectDetail {
         let (first, others) = self.crashes.split_at(self.crashes.len().min(CRASHES_TO_CONVICT));
-        let told = first.iter().chain(others.last()).filter(|_| with_crashes);
+        let told = first.iter().chain(others.last());
+        // Whoever reads what is published has read these too, with better times.
+        let told = told.filter(|c| with_crashes && !c.is_rough);
         SuspectDetail {
             crashes: told.map(|c| c.to_seen(now)).collect(),
             is_proven: self.is_proven,
--- a/crates/mulberry-protocol/src/lib.rs
+++ b/crates/mulberry-protocol/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod name;
 pub mod object_key;
 pub mod peer;
+pub mod published_suspects;
 pub mod refusal;
 pub mod route;
 pub mod stream_origin;
