Watches of endpoints wait 1 s, those of the configuration 2 s, of drain orders 10 s

Change: each watch has a pace of its own. The configuration's version is also told by peers, and an outage shows in the watch of endpoints, after which the other is sent again; a watch that hangs from within a disruption ends before the store counts as stable again (3 s). 1.6 calls a second for each entry.

--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -21,10 +21,6 @@
 
 use crate::shared::SharedState;
 
-/// Longest time for which the store holds a watch call that has no events, in milliseconds. The answer
-/// may get lost without a trace, and endpoints that leave serve on for two seconds only.
-const WATCH_WAIT_MS: u64 = 800;
-
 /// Delay after a failed call, in milliseconds, in addition to the backoff of the store budget.
 const RETRY_DELAY_MS: u64 = 150;
 
@@ -41,8 +37,12 @@
     pub coalesce_ms: u64,
 }
 
-/// Pace of watches on which callers' requests depend within seconds.
-const PROMPT_PACE: WatchPace = WatchPace { wait_ms: WATCH_WAIT_MS, coalesce_ms: COALESCE_DELAY_MS };
+/// Pace of the watch of endpoints. Those that leave serve on for two seconds only.
+const ENDPOINT_PACE: WatchPace = WatchPace { wait_ms: 1_000, coalesce_ms: COALESCE_DELAY_MS };
+
+/// Pace of the watch of the configuration. Peers tell its version too, and a store that has been away
+/// shows in the watch of endpoints.
+const CONFIGURATION_PACE: WatchPace = WatchPace { wait_ms: 2_000, coalesce_ms: COALESCE_DELAY_MS };
 
 /// Pace of watches whose changes may come late now and then.
 pub const RELAXED_PACE: WatchPace = WatchPace { wait_ms: 10_000, coalesce_ms: COALESCE_DELAY_MS };
@@ -228,7 +228,7 @@
     let key = shared.dialect.configuration_key();
     let prefix = key.split_inclusive('/').next().unwrap_or(key);
     let renewals = shared.renewals.subscribe();
-    list_and_watch(&store, prefix, PROMPT_PACE, gate, renewals, |change| match change {
+    list_and_watch(&store, prefix, CONFIGURATION_PACE, gate, renewals, |change| match change {
         StoreChange::Listed(objects) => {
             objects.iter().filter(|o| o.key == key).for_each(|o| apply_configuration(&shared, o));
             on_list();
@@ -291,7 +291,7 @@
     };
     let prefix = shared.dialect.endpoint_prefix();
     let renewals = shared.renewals.subscribe();
-    let watch = list_and_watch(&store, prefix, PROMPT_PACE, gate, renewals, |change| {
+    let watch = list_and_watch(&store, prefix, ENDPOINT_PACE, gate, renewals, |change| {
         let is_list = matches!(change, StoreChange::Listed(_));
         apply_endpoints(&shared, &mut registry.borrow_mut(), change);
         if is_list {
