Entries read the stored convictions, so that those that restart unheard know them

Cause: only the owner of the jobs reads the stored convictions, and tells them in heartbeats. Who does not hear it knows nothing after its start. They don't tell them on; a deleted one is forgotten.

--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -31,6 +31,7 @@
 use crate::shared::SharedState;
 use crate::store_watch::watch_configuration;
 use crate::store_watch::watch_endpoints;
+use crate::stored_convictions::watch_stored_convictions;
 use crate::trials::serve_trials;
 
 /// Time for which idle connections of callers are kept open.
@@ -96,6 +97,8 @@
     actix_rt::spawn(publish_suspects(shared.clone(), store.clone()));
     let published = watch_published_suspects(shared.clone(), store.clone(), gate.subscribe());
     actix_rt::spawn(published);
+    let stored = watch_stored_convictions(shared.clone(), store.clone(), gate.subscribe());
+    actix_rt::spawn(stored);
     actix_rt::spawn(send_heartbeats(shared.clone(), store, socket, PeerRole::Entry, || None));
     wait_for_signal().await;
     drain(&shared, server).await;
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod silence;
 pub mod sse;
 pub mod store_watch;
+pub mod stored_convictions;
 pub mod stream_body;
 pub mod trials;
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -281,6 +281,25 @@
         self.record_mut(fingerprint, now).store_conviction(until, now);
     }
 
+    /// Takes over a conviction that another process has stored, with the runs that were claimed since.
+    /// This process does not tell its peers, who can read it too.
+    pub fn read_conviction(&mut self, fingerprint: u64, until: Millis, trials: u8, now: Millis) {
+        let record = self.record_mut(fingerprint, now);
+        record.hear_conviction(until, now);
+        if record.convicted_until(now).is_some() && trials > record.trials {
+            record.trials = trials;
+            record.last_trial_at = record.last_trial_at.max(Some(now));
+        }
+    }
+
+    /// Forgets a conviction that was deleted from the store, since the request has completed or its time
+    /// was over, and the crashes before.
+    pub fn forget_conviction(&mut self, fingerprint: u64) {
+        if self.records.get(&fingerprint).is_some_and(|r| r.known_until().is_none()) {
+            self.records.swap_remove(&fingerprint);
+        }
+    }
+
     /// Records that a conviction was stored which ends at `until`, unless the request has completed
     /// meanwhile.
     pub fn confirm_conviction(&mut self, fingerprint: u64, until: Millis, now: Millis) {
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -210,13 +210,19 @@
     /// Records that a peer said that the request is convicted. Ignored if it has just completed: the
     /// peer may not know that.
     pub(super) fn tell_conviction(&mut self, now: Millis) {
+        self.hear_conviction(now + TOLD_TTL_MS, now);
+    }
+
+    /// Records that another process convicted the request until this time.
+    pub(super) fn hear_conviction(&mut self, until: Millis, now: Millis) {
         let has_just_completed =
             self.completed_at.is_some_and(|at| now.since(at) < STALE_TELLING_MS);
         if has_just_completed || self.known_until().is_some() {
             return;
         }
         let since = self.conviction.map_or(now, |c| c.since);
-        let (source, until) = (ConvictionSource::Peer, now + TOLD_TTL_MS);
+        let source = ConvictionSource::Peer;
+        let until = self.conviction.map_or(until, |c| c.until.max(until));
         self.conviction = Some(Conviction { source, since, until });
         if self.crashes.is_empty() {
             // Its last run is not known. The pause before the next one begins now.
