Endpoints that crash at the same moment are one crash for a part of prompts

Cause: when a group of endpoints ends at once, three runs with the same part break in the same millisecond at three endpoints. A process that had not seen the part complete, and was not told in time that others had, convicted it. Change: crashes within 0.5 s are one episode, and three episodes convict; parts are told first, so that who knows one to be sound says so in time.

--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -319,7 +319,8 @@
         let (urgent, others): (Vec<_>, Vec<_>) =
             self.records.iter().filter(|(_, r)| is_told(r)).partition(|(_, r)| {
                 let is_near = r.crashes.len() >= CRASHES_WITHOUT_RETRY && !r.is_part;
-                is_recent(r) && (is_known(r) || is_near || r.is_suspect_part(now))
+                // Who knows a part to be sound tells those who suspect it.
+                is_recent(r) && (is_known(r) || is_near || r.is_part)
             });
         let mut sent = draw_suspects(&urgent, MAX_SUSPECTS_PER_HEARTBEAT, rng, now);
         let room = MAX_SUSPECTS_PER_HEARTBEAT - sent.len();
--- a/crates/mulberry-policy/src/crash_suspects/parts.rs
+++ b/crates/mulberry-policy/src/crash_suspects/parts.rs
@@ -1,9 +1,10 @@
 //! Finds the part of prompts that crashes endpoints.
 //!
 //! Requests with such a part are new each time, so that none of them is ever convicted. Each shared part
-//! of a prompt is therefore a suspect of its own. Two things keep sound parts free, which stand beside
+//! of a prompt is therefore a suspect of its own. Three things keep sound parts free, which stand beside
 //! the guilty one in its requests or ran beside them on their endpoints:
 //!
+//! - Endpoints that crash at the same moment count as one crash.
 //! - A part with which a request has completed is known to be sound. A guilty one never completes.
 //! - A suspect explains another one if it was there at each of that one's crashes. A request that lacks the
 //!   first may be sound, and runs.
@@ -17,7 +18,6 @@
 use crate::crash_suspects::CrashVerdict;
 use crate::crash_suspects::Permission;
 use crate::crash_suspects::Run;
-use crate::crash_suspects::UNCLEAR_CRASHES_WITHOUT_RETRY;
 use crate::crash_suspects::crash::Crash;
 use crate::crash_suspects::record::KNOWN_SOUND_MS;
 use crate::crash_suspects::record::Record;
@@ -114,8 +114,7 @@
     /// as its parts are concerned.
     pub fn may_retry_parts(&self, keys: RequestKeys<'_>, now: Millis) -> bool {
         let is_suspect = |r: &Record| {
-            let is_near_conviction = r.refused_crashes() >= CRASHES_WITHOUT_RETRY
-                || r.crashes.len() >= UNCLEAR_CRASHES_WITHOUT_RETRY;
+            let is_near_conviction = r.episodes().count() >= CRASHES_WITHOUT_RETRY;
             r.is_suspect_part(now) && is_near_conviction || r.convicted_until(now).is_some()
         };
         let suspects = keys.parts.iter().filter(|p| self.live(**p, now).is_some_and(is_suspect));
--- a/crates/mulberry-policy/src/crash_suspects/record.rs
+++ b/crates/mulberry-policy/src/crash_suspects/record.rs
@@ -20,6 +20,13 @@
 /// in milliseconds. Sound ones with it complete meanwhile.
 const PART_GRACE_MS: u64 = 1_000;
 
+/// Time within which crashes under a part are of one episode, in milliseconds: endpoints that end at the
+/// same moment may have another cause.
+const EPISODE_MS: u64 = 500;
+
+/// Crashes of a part that are told at a time, those that begin an episode first.
+const TOLD_PART_CRASHES: usize = 7;
+
 /// Time after a completed run for which a part counts as sound though its service completes requests
 /// without it between its crashes, in milliseconds. As long as the service does not, the part counts as
 /// sound for good: endpoints may crash whatever they run.
@@ -28,6 +35,9 @@
 /// Most crashes of one request that are kept; later ones replace the last.
 const MAX_CRASHES: usize = 8;
 
+/// The same of one part.
+const MAX_PART_CRASHES: usize = 16;
+
 /// Time for which a process that was told of a conviction refuses the request, unless it is told
 /// again, in milliseconds.
 const TOLD_TTL_MS: u64 = SUSPECT_TTL_MS;
@@ -107,11 +117,14 @@
 
     /// Returns whether the known crashes convict the request.
     fn is_convicting(&self, now: Millis) -> bool {
-        let Some(last_to_convict) = self.crashes.get(CRASHES_TO_CONVICT - 1) else { return false };
         if self.is_part {
+            let Some(last_to_convict) = self.episodes().nth(CRASHES_TO_CONVICT - 1) else {
+                return false;
+            };
             let grace_ms = if self.has_clear_evidence() { PART_GRACE_MS } else { GRACE_MS };
             return !self.is_known_sound(now) && now.since(last_to_convict.sent_at) >= grace_ms;
         }
+        let Some(last_to_convict) = self.crashes.get(CRASHES_TO_CONVICT - 1) else { return false };
         self.has_clear_evidence()
             || self.crashes.len() >= MAX_UNCLEAR_CRASHES
             || now.since(last_to_convict.sent_at) >= GRACE_MS
@@ -127,6 +140,18 @@
         self.is_part && !self.crashes.is_empty() && !self.is_known_sound(now)
     }
 
+    /// Returns the crash that begins each episode.
+    pub(super) fn episodes(&self) -> impl Iterator<Item = &Crash> {
+        let mut last_began: Option<Millis> = None;
+        self.crashes.iter().filter(move |crash| {
+            let is_new = last_began.is_none_or(|at| crash.at.since(at) >= EPISODE_MS);
+            if is_new {
+                last_began = Some(crash.at);
+            }
+            is_new
+        })
+    }
+
     /// Returns whether endpoints refused connections often enough after it.
     fn has_clear_evidence(&self) -> bool {
         self.refused_crashes() >= CRASHES_TO_CONVICT
@@ -158,7 +183,8 @@
     }
 
     fn has_convicting_crashes(&self) -> bool {
-        self.crashes.len() >= CRASHES_TO_CONVICT
+        let count = if self.is_part { self.episodes().count() } else { self.crashes.len() };
+        count >= CRASHES_TO_CONVICT
     }
 
     /// Adds a crash. Returns false if it is known already, or came before a completed run. Up to the
@@ -170,7 +196,9 @@
         if is_cleared || self.crashes.iter().any(|c| is_same(c, &crash)) {
             return false;
         }
-        if self.crashes.len() >= MAX_CRASHES {
+        if self.is_part && self.crashes.len() >= MAX_PART_CRASHES {
+            self.drop_from_episode();
+        } else if !self.is_part && self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop();
         }
         let index = self.crashes.partition_point(|c| c.at <= crash.at);
@@ -179,6 +207,13 @@
         true
     }
 
+    /// Drops the last crash that begins no episode, or the last one.
+    fn drop_from_episode(&mut self) {
+        let beginnings: Vec<Crash> = self.episodes().copied().collect();
+        let dropped = self.crashes.iter().rposition(|c| !beginnings.contains(c));
+        self.crashes.remove(dropped.unwrap_or(self.crashes.len() - 1));
+    }
+
     /// Records that the request completed at this time: what was known of it before is void.
     pub(super) fn void_before(&mut self, completed_at: Millis, now: Millis) {
         self.completed_at = self.completed_at.max(Some(completed_at));
@@ -246,13 +281,28 @@
         !self.crashes.is_empty() || self.trials > 0 || self.completed_at.is_some()
     }
 
+    /// Returns the crashes that convict a request, and the last one.
+    fn told_crashes(&self) -> Vec<&Crash> {
+        let (first, others) = self.crashes.split_at(self.crashes.len().min(CRASHES_TO_CONVICT));
+        first.iter().chain(others.last()).collect()
+    }
+
+    /// Returns the crashes of a part that peers are told, in their order.
+    fn told_part_crashes(&self) -> Vec<&Crash> {
+        let beginnings: Vec<&Crash> = self.episodes().collect();
+        let others = self.crashes.iter().filter(|c| !beginnings.contains(c));
+        let all = beginnings.iter().copied().chain(others);
+        let mut told: Vec<&Crash> = all.take(TOLD_PART_CRASHES).collect();
+        told.sort_by_key(|c| c.at);
+        told
+    }
+
     /// Returns what peers are told besides the conviction. That says enough once the crashes are not
     /// recent any more.
     pub(super) fn to_detail(&self, with_crashes: bool, now: Millis) -> SuspectDetail {
-        let (first, others) = self.crashes.split_at(self.crashes.len().min(CRASHES_TO_CONVICT));
-        let told = first.iter().chain(others.last());
+        let told = if self.is_part { self.told_part_crashes() } else { self.told_crashes() };
         // Whoever reads what is published has read these too, with better times.
-        let told = told.filter(|c| with_crashes && !c.is_rough);
+        let told = told.into_iter().filter(|c| with_crashes && !c.is_rough);
         SuspectDetail {
             crashes: told.map(|c| c.to_seen(now)).collect(),
             is_proven: self.is_proven,
