A stream that waits for certainty is not sent to an endpoint that has begun to drain

A request that is taken up at another entry waits up to 0.7 s for a connection to be held long enough, and was then sent to the endpoint that was chosen before, though the entry knew by then that it drains: late by as much as the watch and the wait together. Cause: after the wait only the process behind the record was compared, not whether it still takes requests. Change: the wait ends with "not run" once the endpoint drains or says that it leaves, and the entry tries another one. The same question at the end of unframed answers is now asked in one place.

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -14,7 +14,6 @@
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_protocol::endpoint::EndpointRecord;
-use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EntryName;
@@ -119,12 +118,7 @@
         ending: StreamEnding,
         endpoint: &EndpointRecord,
     ) -> StreamVerdict {
-        let has_announced = || {
-            let endpoints = self.endpoints.load();
-            let known = endpoints.get(&endpoint.name);
-            let is_ready = known.is_some_and(|e| e.state == EndpointState::Ready);
-            !is_ready || self.leaving().is_leaving(endpoint)
-        };
+        let has_announced = || !self.takes_requests(endpoint);
         if !ending.needs_probe() || has_announced() {
             return ending.judge(false);
         }
--- a/crates/mulberry-direct/src/origins.rs
+++ b/crates/mulberry-direct/src/origins.rs
@@ -78,6 +78,9 @@
         if !shared.is_current_record(endpoint) {
             return Err(not_ready("the endpoint has restarted or is gone"));
         }
+        if !shared.takes_requests(endpoint) {
+            return Err(not_ready("the endpoint leaves"));
+        }
         if wait_ms == 0 {
             return Ok(held_ms);
         }
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -31,6 +31,7 @@
 use mulberry_process::stop::StopSignal;
 use mulberry_protocol::auth::SecretKeyring;
 use mulberry_protocol::endpoint::EndpointRecord;
+use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
@@ -182,6 +183,15 @@
         endpoints.get(&endpoint.name).is_some_and(|known| is_same_process(known, endpoint))
     }
 
+    /// Returns whether the endpoint is known to take requests: it is ready, and has not said that it
+    /// leaves.
+    pub fn takes_requests(&self, endpoint: &EndpointRecord) -> bool {
+        let endpoints = self.endpoints.load();
+        let known = endpoints.get(&endpoint.name);
+        let is_ready = known.is_some_and(|e| e.state == EndpointState::Ready);
+        is_ready && !self.leaving().is_leaving(endpoint)
+    }
+
     /// Locks the counts of requests and items in flight at each endpoint.
     pub fn occupancy(&self) -> MutexGuard<'_, Occupancy> {
         lock(&self.occupancy)
