Suspects are published only if something has changed

Cause: a process that does not hear some peer, as for good after a machine was replaced, wrote its suspects to the store each half second for ten seconds after each break, the same ones again and again. Change: it writes only if a suspect has changed since. A test of it, and of crashes whose times are off by their way through the store: read three times, they count once. What joins suspects with their details stands in one place.

--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -17,6 +17,7 @@
 use mulberry_platform::store::to_json;
 use mulberry_policy::crash_suspects::SuspectSender;
 use mulberry_policy::crash_suspects::ToldSuspect;
+use mulberry_policy::crash_suspects::told_suspects;
 use mulberry_policy::heartbeat_interval::HeartbeatReceiver;
 use mulberry_policy::heartbeat_interval::HeartbeatSender;
 use mulberry_policy::heartbeat_interval::MIN_HEARTBEAT_INTERVAL_MS;
@@ -194,13 +195,8 @@
         (heartbeat.incarnation, heartbeat.store_recoveries, heartbeat.version);
     shared.record_store_report(name, StoreReport { incarnation, recoveries, version });
     let sender = SuspectSender { name: name.clone(), incarnation, sequence: heartbeat.sequence };
-    let mut details = datagram.details.iter().cloned();
-    let told = heartbeat.suspects.iter().cloned();
-    let told = told.map(|suspect| {
-        let is_part = datagram.parts.contains(&suspect.fingerprint);
-        ToldSuspect { suspect, detail: details.next(), is_part }
-    });
-    shared.merge_suspects(&sender, &told.collect::<Vec<_>>());
+    let told = told_suspects(&heartbeat.suspects, &datagram.details, &datagram.parts);
+    shared.merge_suspects(&sender, &told);
     let report = LoadReport {
         incarnation,
         sequence: heartbeat.sequence,
--- a/crates/mulberry-direct/src/published_suspects.rs
+++ b/crates/mulberry-direct/src/published_suspects.rs
@@ -10,6 +10,7 @@
 use mulberry_platform::store::parse_json;
 use mulberry_platform::store::to_json;
 use mulberry_policy::crash_suspects::ToldSuspect;
+use mulberry_policy::crash_suspects::told_suspects;
 use mulberry_policy::store_budget::CallClass;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -35,6 +36,7 @@
 /// Publishes suspects until the process stops.
 pub async fn publish_suspects(shared: Arc<SharedState>, store: Store) {
     let mut version = None;
+    let mut published_at = None;
     loop {
         let steps = shared.peers().len().div_ceil(FULL_RATE_PEERS).max(1);
         let interval_ms = PUBLISH_INTERVAL_MS * steps as u64;
@@ -42,7 +44,8 @@
         if !has_unheard_peer(&shared) {
             continue;
         }
-        let told = shared.crash_suspects().suspects_to_publish(shared.clock.now());
+        let now = shared.clock.now();
+        let told = shared.crash_suspects().suspects_to_publish(published_at, now);
         if told.is_empty() {
             continue;
         }
@@ -50,6 +53,7 @@
             Ok(written) => {
                 shared.metrics.count("direct.suspects_published");
                 version = Some(written);
+                published_at = Some(now);
             }
             Err(e) => log_event!(debug, Event::StoreFailed, error = %e, what = "suspects"),
         }
@@ -117,12 +121,7 @@
         if published.publisher == self.settings.name {
             return;
         }
-        let mut details = published.details.into_iter();
-        let told = published.suspects.into_iter().map(|suspect| {
-            let is_part = published.parts.contains(&suspect.fingerprint);
-            ToldSuspect { suspect, detail: details.next(), is_part }
-        });
-        let told: Vec<ToldSuspect> = told.collect();
+        let told = told_suspects(&published.suspects, &published.details, &published.parts);
         let convicted = self.crash_suspects().merge_published(&told, self.clock.now());
         for verdict in convicted {
             self.report_conviction(verdict, Some(&published.publisher));
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -80,6 +80,21 @@
     pub is_part: bool,
 }
 
+/// Joins suspects with their details, which are in the same order, and with the fingerprints of those that
+/// are parts of prompts.
+pub fn told_suspects(
+    suspects: &[Suspect],
+    details: &[SuspectDetail],
+    parts: &[u64],
+) -> Vec<ToldSuspect> {
+    let mut details = details.iter().cloned();
+    let told = suspects.iter().cloned().map(|suspect| {
+        let is_part = parts.contains(&suspect.fingerprint);
+        ToldSuspect { suspect, detail: details.next(), is_part }
+    });
+    told.collect()
+}
+
 /// What a crash or a report changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashVerdict {
@@ -329,12 +344,19 @@
     }
 
     /// Returns what to publish for peers that don't hear this process: what changed lately, the latest
-    /// changes first.
-    pub fn suspects_to_publish(&self, now: Millis) -> Vec<ToldSuspect> {
+    /// changes first. Nothing if all of that was published before.
+    pub fn suspects_to_publish(
+        &self,
+        published_at: Option<Millis>,
+        now: Millis,
+    ) -> Vec<ToldSuspect> {
         let is_own = |r: &&Record| r.crashes.iter().any(|c| !c.is_rough) || r.trials > 0;
         let is_recent = |r: &&Record| now.since(r.changed_at) <= SEND_CHANGES_MS;
         let mut recent: Vec<_> =
             self.records.iter().filter(|(_, r)| is_recent(r) && is_own(r)).collect();
+        if recent.iter().all(|(_, r)| Some(r.changed_at) < published_at) {
+            return Vec::new();
+        }
         recent.sort_by_key(|(_, r)| std::cmp::Reverse(r.changed_at));
         let latest = recent.into_iter().take(MAX_PUBLISHED_SUSPECTS);
         latest.map(|(fingerprint, record)| tell(*fingerprint, record, now)).collect()
--- a/crates/mulberry-policy/tests/crash_suspects/parts.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/parts.rs
@@ -362,3 +362,25 @@
     complete(&mut suspects, 1, &[FIRST], 2_700);
     assert_eq!(stored(&suspects, 2_700), vec![GUILTY]);
 }
+
+/// Guards against calls to the store that tell nothing new, and against crashes that count twice since
+/// their times are off when they come by way of the store.
+#[test]
+fn published_suspects_are_told_once_and_count_once() {
+    let (mut publisher, mut reader) = (CrashSuspects::default(), CrashSuspects::default());
+    for endpoint in 1..=2 {
+        let at = endpoint * 500;
+        break_run(&mut publisher, at as usize, (&[GUILTY], endpoint), CrashEvidence::Refused, at);
+    }
+    let first = publisher.suspects_to_publish(None, Millis(1_100));
+    assert!(first.iter().any(|t| t.is_part && t.suspect.fingerprint == GUILTY));
+    assert!(publisher.suspects_to_publish(Some(Millis(1_100)), Millis(1_600)).is_empty());
+    for read_at in [1_200, 2_000, 2_700] {
+        let _convicted = reader.merge_published(&first, Millis(read_at));
+    }
+    assert!(!is_refused(&reader, &[GUILTY], 9_000), "two crashes, however often they are read");
+    break_run(&mut publisher, 3, (&[GUILTY], 3), CrashEvidence::Refused, 4_000);
+    let second = publisher.suspects_to_publish(Some(Millis(1_100)), Millis(4_100));
+    let _convicted = reader.merge_published(&second, Millis(4_500));
+    assert!(is_refused(&reader, &[GUILTY], 9_000));
+}
