A part is not shown to be sound by one answer whose end only its connection marks

Cause: such a stream's crash between two events looks like its end if the crashed endpoint's port is not closed yet when it is probed. That single answer made the guilty part known to be sound, which it stays as long as nothing else completes between its crashes, and else for 60 s. Change: answers without length or chunks show a part to be sound, and void its crashes, only after three in a row without a crash between. After: the table's new case, which fails with one in place of three ("runs").

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -2,6 +2,7 @@
 
 use std::sync::MutexGuard;
 
+use mulberry_policy::crash_suspects::AnswerEnd;
 use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::crash_suspects::CrashSuspects;
 use mulberry_policy::crash_suspects::CrashVerdict;
@@ -11,6 +12,7 @@
 use mulberry_policy::crash_suspects::Run;
 use mulberry_policy::crash_suspects::SuspectSender;
 use mulberry_policy::crash_suspects::ToldSuspect;
+use mulberry_policy::stream_end::BodyFraming;
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_protocol::endpoint::EndpointRecord;
@@ -172,8 +174,13 @@
     }
 
     /// Records that an endpoint answered a request with these parts in its prompt to the end.
-    pub fn record_parts_completed(&self, parts: &[u64]) {
-        let cleared = self.crash_suspects().record_parts_completed(parts, self.clock.now());
+    pub fn record_parts_completed(&self, parts: &[u64], framing: BodyFraming) {
+        let end = match framing {
+            BodyFraming::Length | BodyFraming::Chunks => AnswerEnd::Marked,
+            BodyFraming::Connection => AnswerEnd::Unmarked,
+        };
+        let now = self.clock.now();
+        let cleared = self.crash_suspects().record_parts_completed(parts, end, now);
         for part in cleared {
             self.metrics.count("direct.requests_cleared");
             log_event!(info, Event::PoisonCleared, fingerprint = fingerprint_text(part));
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -342,7 +342,7 @@
             let broken = Err(ExchangeError::broken_off(ending.position));
             return watch_failure(&mut watch, broken).await;
         }
-        watch.complete(response.status.is_success());
+        watch.complete(response.status.is_success(), response.framing);
         let duration_ms = self.shared.clock.now().since(watch.sent_at());
         self.shared.queue_limits().record_run(&choice.endpoint.service, duration_ms, 0);
         Ok(RelayResponse::Full(FullResponse {
--- a/crates/mulberry-direct/src/run_watch.rs
+++ b/crates/mulberry-direct/src/run_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use mulberry_policy::crash_suspects::CrashEvidence;
+use mulberry_policy::stream_end::BodyFraming;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -58,11 +59,12 @@
         self.is_open = false;
     }
 
-    /// Records that the endpoint ran the request to its end, and whether it answered it with success.
-    pub fn complete(&mut self, is_success: bool) {
+    /// Records that the endpoint ran the request to its end, with an answer of this framing, and whether
+    /// that was a success.
+    pub fn complete(&mut self, is_success: bool, framing: BodyFraming) {
         self.is_open = false;
         if is_success {
-            self.shared.record_parts_completed(&self.parts);
+            self.shared.record_parts_completed(&self.parts, framing);
         }
         self.shared.record_run_completed(self.fingerprint, &self.endpoint, self.sent_at);
     }
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -87,7 +87,7 @@
                 Some((Ok(chunk), Some(state)))
             }
             NextChunk::End => {
-                state.open.watch.complete(true);
+                state.open.watch.complete(true, state.open.response.framing);
                 state.record_timing();
                 state.log_end("complete");
                 None
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -32,6 +32,7 @@
 use mulberry_protocol::time::Millis;
 
 use crate::crash_suspects::crash::Crash;
+use crate::crash_suspects::parts::SoundPart;
 use crate::crash_suspects::record::Record;
 use crate::crash_suspects::trials::next_trial_at;
 use crate::suspects::MAX_RECORDS;
@@ -39,6 +40,7 @@
 
 pub use crash::CrashEvidence;
 pub use crash::Run;
+pub use parts::AnswerEnd;
 pub use parts::RequestKeys;
 pub use trials::MAX_TRIALS;
 
@@ -125,8 +127,8 @@
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     records: IndexMap<u64, Record>,
-    /// When a request with each part was last answered to the end by this process.
-    sound_parts: IndexMap<u64, Millis>,
+    /// What the answers that this process got speak for each part.
+    sound_parts: IndexMap<u64, SoundPart>,
     /// When each service last completed a run of this process.
     completed_at: IndexMap<ServiceName, Millis>,
     /// Incarnation and number of the last heartbeat of each peer that was merged.
--- a/crates/mulberry-policy/src/crash_suspects/parts.rs
+++ b/crates/mulberry-policy/src/crash_suspects/parts.rs
@@ -25,6 +25,30 @@
 /// Most parts whose last completed run is remembered.
 const MAX_SOUND_PARTS: usize = 8_192;
 
+/// Answers in a row whose end only the connection's end marks that show a part to be sound. A single one
+/// may have been a crash between two events.
+const UNMARKED_ENDS_TO_TRUST: u8 = 3;
+
+/// What marked the end of an answer that was taken for whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// Its declared length, or a last chunk.
+    Marked,
+    /// Only the end of the connection.
+    Unmarked,
+}
+
+/// What speaks for a part.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SoundPart {
+    /// When a request with it was last known to have completed.
+    sound_at: Option<Millis>,
+    /// When something was last recorded here.
+    seen_at: Millis,
+    /// Answers in a row without a marked end, since the last crash.
+    unmarked_ends: u8,
+}
+
 /// What a request is known by.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestKeys<'a> {
@@ -53,6 +77,9 @@
         let service_completed_at = self.completed_at.get(run.service).copied();
         let mut convicted = Vec::new();
         for part in parts {
+            if let Some(known) = self.sound_parts.get_mut(part) {
+                known.unmarked_ends = 0;
+            }
             let record = self.part_record_mut(*part, now);
             let was_convicted = record.will_be_convicted(now);
             let last_crash_at = record.crashes.last().map(|c| c.at);
@@ -70,10 +97,17 @@
 
     /// Records for each part that a request with it was answered to the end. Returns those that were
     /// convicted.
-    pub fn record_parts_completed(&mut self, parts: &[u64], now: Millis) -> Vec<u64> {
+    pub fn record_parts_completed(
+        &mut self,
+        parts: &[u64],
+        end: AnswerEnd,
+        now: Millis,
+    ) -> Vec<u64> {
         let mut cleared = Vec::new();
         for part in parts {
-            self.remember_sound(*part, now);
+            if !self.remember_end(*part, end, now) {
+                continue;
+            }
             if let Some(record) = self.records.get_mut(part) {
                 if record.will_be_convicted(now) {
                     cleared.push(*part);
@@ -139,23 +173,29 @@
 
     /// Returns the record of a part.
     pub(super) fn part_record_mut(&mut self, part: u64, now: Millis) -> &mut Record {
-        let sound_at = self.sound_parts.get(&part).copied();
+        let sound_at = self.sound_parts.get(&part).and_then(|known| known.sound_at);
         let record = self.record_mut(part, now);
         record.is_part = true;
         record.completed_at = record.completed_at.max(sound_at);
         record
     }
 
-    fn remember_sound(&mut self, part: u64, now: Millis) {
-        if let Some(at) = self.sound_parts.get_mut(&part) {
-            *at = now;
-            return;
-        }
-        if self.sound_parts.len() >= MAX_SOUND_PARTS {
-            self.sound_parts.retain(|_, at| now.since(*at) < KNOWN_SOUND_MS);
+    /// Remembers how an answer to a request with the part ended. Returns whether that shows the part to be
+    /// sound.
+    fn remember_end(&mut self, part: u64, end: AnswerEnd, now: Millis) -> bool {
+        if !self.sound_parts.contains_key(&part) && self.sound_parts.len() >= MAX_SOUND_PARTS {
+            self.sound_parts.retain(|_, known| now.since(known.seen_at) < KNOWN_SOUND_MS);
+            if self.sound_parts.len() >= MAX_SOUND_PARTS {
+                return end == AnswerEnd::Marked;
+            }
         }
-        if self.sound_parts.len() < MAX_SOUND_PARTS {
-            self.sound_parts.insert(part, now);
+        let known = self.sound_parts.entry(part).or_default();
+        known.seen_at = now;
+        known.unmarked_ends = known.unmarked_ends.saturating_add(1);
+        let is_sound = end == AnswerEnd::Marked || known.unmarked_ends >= UNMARKED_ENDS_TO_TRUST;
+        if is_sound {
+            known.sound_at = Some(now);
         }
+        is_sound
     }
 }
--- a/crates/mulberry-policy/tests/crash_suspects/parts.rs
+++ b/crates/mulberry-policy/tests/crash_suspects/parts.rs
@@ -5,6 +5,7 @@
 
 use crate::sender_of;
 use crate::service;
+use mulberry_policy::crash_suspects::AnswerEnd;
 use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::crash_suspects::CrashSuspects;
 use mulberry_policy::crash_suspects::Permission;
@@ -27,6 +28,8 @@
     End { parts: &'static [u64], endpoint: u64, at: u64 },
     /// A new request with these parts completes.
     Complete { parts: &'static [u64], at: u64 },
+    /// An answer to a new request with these parts ends with its connection, and is taken for whole.
+    SeemsComplete { parts: &'static [u64], at: u64 },
     /// Requests of the same service without any of the parts complete, at each process.
     OtherCompletes { at: u64 },
 }
@@ -199,6 +202,34 @@
         refused: &[&[FIRST, GUILTY]],
         free: &[&[FIRST]],
     },
+    Case {
+        name: "a crash between two events was taken for the end of an answer",
+        steps: &[
+            Step::SeemsComplete { parts: &[FIRST, GUILTY], at: 0 },
+            Step::Crash { parts: &[FIRST, GUILTY], endpoint: 1, at: 500 },
+            Step::Complete { parts: &[FIRST], at: 700 },
+            Step::Crash { parts: &[FIRST, GUILTY], endpoint: 2, at: 1_000 },
+            Step::SeemsComplete { parts: &[FIRST, GUILTY], at: 1_200 },
+            Step::Crash { parts: &[FIRST, GUILTY], endpoint: 3, at: 1_500 },
+        ],
+        at: 2_500,
+        refused: &[&[FIRST, GUILTY]],
+        free: &[&[FIRST]],
+    },
+    Case {
+        name: "three answers in a row that end with their connections show a part to be sound",
+        steps: &[
+            Step::SeemsComplete { parts: &[FIRST], at: 0 },
+            Step::SeemsComplete { parts: &[FIRST], at: 100 },
+            Step::SeemsComplete { parts: &[FIRST], at: 200 },
+            Step::Crash { parts: &[FIRST, 11], endpoint: 1, at: 1_000 },
+            Step::Crash { parts: &[FIRST, 12], endpoint: 2, at: 2_000 },
+            Step::Crash { parts: &[FIRST, 13], endpoint: 3, at: 3_000 },
+        ],
+        at: 5_000,
+        refused: &[],
+        free: &[&[FIRST]],
+    },
     Case {
         name: "unclear evidence convicts a second later",
         steps: &[
@@ -243,12 +274,17 @@
     let _parts = suspects.record_part_crashes(run, parts, evidence, Millis(at));
 }
 
-fn complete(suspects: &mut CrashSuspects, number: usize, parts: &[u64], at: u64) {
+fn complete(
+    suspects: &mut CrashSuspects,
+    number: usize,
+    (parts, end): (&[u64], AnswerEnd),
+    at: u64,
+) {
     let service = service();
     let (fingerprint, sent_at) = (new_request(number), Millis(at));
     let run = Run { fingerprint, service: &service, endpoint: 99, sent_at };
     let _request = suspects.record_completed(run, Millis(at));
-    let _parts = suspects.record_parts_completed(parts, Millis(at));
+    let _parts = suspects.record_parts_completed(parts, end, Millis(at));
 }
 
 fn apply(suspects: &mut CrashSuspects, number: usize, step: Step) {
@@ -259,8 +295,13 @@
         Step::End { parts, endpoint, at } => {
             break_run(suspects, number, (parts, endpoint), CrashEvidence::Ended, at);
         }
-        Step::Complete { parts, at } => complete(suspects, number, parts, at),
-        Step::OtherCompletes { at } => complete(suspects, number, &[], at),
+        Step::Complete { parts, at } => {
+            complete(suspects, number, (parts, AnswerEnd::Marked), at);
+        }
+        Step::SeemsComplete { parts, at } => {
+            complete(suspects, number, (parts, AnswerEnd::Unmarked), at);
+        }
+        Step::OtherCompletes { at } => complete(suspects, number, (&[], AnswerEnd::Marked), at),
     }
 }
 
@@ -307,6 +348,7 @@
             let (Step::Crash { at, .. }
             | Step::End { at, .. }
             | Step::Complete { at, .. }
+            | Step::SeemsComplete { at, .. }
             | Step::OtherCompletes { at }) = *step;
             for _ in 0..4 {
                 sequence += 1;
@@ -340,7 +382,7 @@
     }
     assert!(is_refused(&suspects, &[GUILTY], 20_000));
     suspects.begin_trial(GUILTY, 1, Millis(31_000));
-    complete(&mut suspects, 1, &[GUILTY], 31_100);
+    complete(&mut suspects, 1, (&[GUILTY], AnswerEnd::Marked), 31_100);
     assert!(!is_refused(&suspects, &[GUILTY], 31_100));
     assert!(suspects.convictions(Millis(31_100)).is_empty());
 }
@@ -359,7 +401,7 @@
         convictions.filter(|key| *key < 1_000).collect::<Vec<_>>()
     };
     assert!(stored(&suspects, 2_600).is_empty());
-    complete(&mut suspects, 1, &[FIRST], 2_700);
+    complete(&mut suspects, 1, (&[FIRST], AnswerEnd::Marked), 2_700);
     assert_eq!(stored(&suspects, 2_700), vec![GUILTY]);
 }
 
