A conviction that is read from the store is logged and counted

If it does so before the owner's heartbeat, the heartbeat tells nothing new, and reading left neither a line nor a count. Evidence: the test's message; the entry's only two ways to know the conviction, of which one counted. Change: 601 and direct.requests_convicted name what decided: own, peer, store.

--- a/crates/mulberry-direct/src/crashes.rs
+++ b/crates/mulberry-direct/src/crashes.rs
@@ -58,6 +58,17 @@
     pub sent_at: Millis,
 }
 
+/// What decided that a request or part is refused.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum VerdictSource<'a> {
+    /// A crash that this process saw.
+    Own,
+    /// What this peer told or published.
+    Peer(&'a EntryName),
+    /// The stored conviction.
+    Store,
+}
+
 impl SharedState {
     /// Locks the requests that are suspected or known to crash endpoints.
     pub fn crash_suspects(&self) -> MutexGuard<'_, CrashSuspects> {
@@ -139,7 +150,9 @@
             let recorded = suspects.record_crash(run, evidence, now);
             (recorded, suspects.record_part_crashes(run, parts, evidence, now))
         };
-        convicted_parts.into_iter().for_each(|verdict| self.report_conviction(verdict, None));
+        convicted_parts
+            .into_iter()
+            .for_each(|verdict| self.report_conviction(verdict, VerdictSource::Own));
         let Some(verdict) = recorded else {
             self.metrics.count("direct.crashes_not_counted");
             log_event!(info, Event::CrashNotCounted, fingerprint = fingerprint_text(fingerprint),
@@ -151,7 +164,7 @@
             prompt = parts_text(parts), endpoint = %endpoint.name, after = ?evidence,
             crashes = verdict.crashes);
         if verdict.newly_convicted {
-            self.report_conviction(verdict, None);
+            self.report_conviction(verdict, VerdictSource::Own);
         }
         true
     }
@@ -193,21 +206,25 @@
         let now = self.clock.now();
         let convicted = self.crash_suspects().merge(sender, suspects, now);
         for verdict in convicted {
-            self.report_conviction(verdict, Some(&sender.name));
+            self.report_conviction(verdict, VerdictSource::Peer(&sender.name));
         }
     }
 
-    /// Logs and counts a request that this process refuses from now on; `peer` is the process whose
-    /// report decided it, if it was not this one's own observation.
-    pub(crate) fn report_conviction(&self, verdict: CrashVerdict, peer: Option<&EntryName>) {
-        let source = if peer.is_some() { "peer" } else { "own" };
-        self.metrics.count_reason("direct.requests_convicted", source);
+    /// Logs and counts a request or part that this process refuses from now on.
+    pub(crate) fn report_conviction(&self, verdict: CrashVerdict, source: VerdictSource<'_>) {
+        let (reason, peer) = match source {
+            VerdictSource::Own => ("own", ""),
+            VerdictSource::Peer(peer) => ("peer", peer.as_str()),
+            VerdictSource::Store => ("store", ""),
+        };
+        self.metrics.count_reason("direct.requests_convicted", reason);
         log_event!(
             warn,
             Event::PoisonConfirmed,
             fingerprint = fingerprint_text(verdict.fingerprint),
             crashes = verdict.crashes,
-            peer = peer.map_or("", |p| p.as_str())
+            source = reason,
+            peer
         );
     }
 }
--- a/crates/mulberry-direct/src/published_suspects.rs
+++ b/crates/mulberry-direct/src/published_suspects.rs
@@ -17,6 +17,7 @@
 use mulberry_protocol::published_suspects::PUBLISHED_SUSPECTS_PREFIX;
 use mulberry_protocol::published_suspects::PublishedSuspects;
 
+use crate::crashes::VerdictSource;
 use crate::shared::SharedState;
 use crate::store_watch::RELAXED_PACE;
 use crate::store_watch::StoreChange;
@@ -124,7 +125,7 @@
         let told = told_suspects(&published.suspects, &published.details, &published.parts);
         let convicted = self.crash_suspects().merge_published(&told, self.clock.now());
         for verdict in convicted {
-            self.report_conviction(verdict, Some(&published.publisher));
+            self.report_conviction(verdict, VerdictSource::Peer(&published.publisher));
         }
     }
 }
--- a/crates/mulberry-direct/src/stored_convictions.rs
+++ b/crates/mulberry-direct/src/stored_convictions.rs
@@ -12,6 +12,7 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 
+use crate::crashes::VerdictSource;
 use crate::shared::SharedState;
 use crate::store_watch::RELAXED_PACE;
 use crate::store_watch::StoreChange;
@@ -55,7 +56,10 @@
     let left_ms = conviction.until_unix_s.saturating_sub(unix_s) * 1_000;
     let until = now + left_ms.min(CONFIRMED_TTL_MS);
     let (fingerprint, trials) = (conviction.fingerprint, conviction.trials);
-    shared.crash_suspects().read_conviction(fingerprint, until, trials, now);
+    let read = shared.crash_suspects().read_conviction(fingerprint, until, trials, now);
+    if let Some(verdict) = read {
+        shared.report_conviction(verdict, VerdictSource::Store);
+    }
 }
 
 fn forget(shared: &SharedState, key: &str) {
--- a/crates/mulberry-policy/src/crash_suspects/mod.rs
+++ b/crates/mulberry-policy/src/crash_suspects/mod.rs
@@ -299,14 +299,24 @@
     }
 
     /// Takes over a conviction that another process has stored, with the runs that were claimed since.
-    /// This process does not tell its peers, who can read it too.
-    pub fn read_conviction(&mut self, fingerprint: u64, until: Millis, trials: u8, now: Millis) {
+    /// This process does not tell its peers, who can read it too. Returns the verdict if it is new here.
+    pub fn read_conviction(
+        &mut self,
+        fingerprint: u64,
+        until: Millis,
+        trials: u8,
+        now: Millis,
+    ) -> Option<CrashVerdict> {
         let record = self.record_mut(fingerprint, now);
+        let was_convicted = record.will_be_convicted(now);
         record.hear_conviction(until, now);
         if record.convicted_until(now).is_some() && trials > record.trials {
             record.trials = trials;
             record.last_trial_at = record.last_trial_at.max(Some(now));
         }
+        let newly_convicted = record.will_be_convicted(now) && !was_convicted;
+        let crashes = record.crashes.len();
+        newly_convicted.then_some(CrashVerdict { fingerprint, crashes, newly_convicted })
     }
 
     /// Forgets a conviction that was deleted from the store, since the request has completed or its time
