Datagrams with parts are encoded whole also without details, and read from builds that send none

Processes always send both, so that no datagram lost any; the test's sample has parts and no details. Change: parts are written whenever there are some.

--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -132,7 +132,7 @@
     secrets: &SecretKeyring,
 ) -> Result<Vec<u8>, ProtocolError> {
     let mut payload = postcard::to_stdvec(&datagram.heartbeat)?;
-    if !datagram.details.is_empty() {
+    if !(datagram.details.is_empty() && datagram.parts.is_empty()) {
         payload.extend(postcard::to_stdvec(&datagram.details)?);
         payload.extend(postcard::to_stdvec(&datagram.parts)?);
     }
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -176,7 +176,7 @@
         trials: 1,
         last_trial_ms_ago: Some(2),
     };
-    for details in [Vec::new(), vec![detail]] {
+    for details in [Vec::new(), vec![detail.clone()]] {
         let sent = peer_datagram(details);
         let datagram = encode_peer_datagram(&sent, &secrets).unwrap();
         assert_eq!(decode_peer_datagram(&datagram, &secrets).unwrap(), sent);
@@ -184,6 +184,12 @@
         let read_before: PeerHeartbeat = postcard::from_bytes(payload).unwrap();
         assert_eq!(read_before, sent.heartbeat);
     }
+    let sent = peer_datagram(vec![detail]);
+    let heartbeat = postcard::to_stdvec(&sent.heartbeat).unwrap();
+    let details = postcard::to_stdvec(&sent.details).unwrap();
+    let without_parts = secrets.sign_datagram(&[heartbeat, details].concat());
+    let read = decode_peer_datagram(&without_parts, &secrets).unwrap();
+    assert_eq!((read.details, read.parts), (sent.details, Vec::new()));
     let payload = postcard::to_stdvec(&peer_datagram(Vec::new()).heartbeat).unwrap();
     let sent_before = secrets.sign_datagram(&payload);
     assert!(decode_peer_datagram(&sent_before, &secrets).unwrap().details.is_empty());
