Endpoints that name a limit get requests with permits, which one entry gives for all

Cause: the header with the limit was passed on and never read. Change: limits are read from each response and told in heartbeats; each request, repeat, continued stream and item to such an endpoint needs a permit of the one entry that gives them for the service (endpoint_limits, limits). What can't go anywhere is refused at once with the time of the next permit. Why it works: one process counts, so that neither the number of entries nor the doors that callers use matter; a new one begins with nothing, and groups that don't hear each other share the limit.

--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -1,5 +1,7 @@
 //! Chooses the endpoint for an online request.
 
+use std::sync::Arc;
+
 use rand::Rng;
 
 use mulberry_policy::endpoint_continuity::certain_in_ms;
@@ -10,17 +12,23 @@
 use mulberry_policy::routing::choose_endpoint;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
+use mulberry_protocol::limit::PermitClass;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::stream_origin::StreamOrigin;
 
 use crate::relay::CallerRequest;
 use crate::relay::Relay;
+use crate::shared::Endpoints;
 
 /// `Retry-After` of requests that are refused because no endpoint is ready, in milliseconds.
 const RETRY_AFTER_MS: u32 = 400;
 
+/// Wait that is assumed at an endpoint with a limit, so that the others are chosen first, in milliseconds.
+const LIMITED_WAIT_MS: u32 = 250;
+
 /// The endpoint chosen for a request, and the load information that the choice was based on.
 #[derive(Debug, Clone)]
 pub struct EndpointChoice {
@@ -32,88 +40,187 @@
     pub view_age_ms: u64,
 }
 
+/// Endpoints that a request may go to now, with their loads.
+struct Choices {
+    endpoints: Arc<Endpoints>,
+    /// Positions among the endpoints.
+    usable: Vec<usize>,
+    candidates: Vec<Candidate>,
+    /// Time until the first of the others may get a request within its limit, in milliseconds, if there
+    /// are any.
+    limited_ms: Option<u64>,
+}
+
 impl Relay {
-    /// Chooses a ready endpoint that has not been tried and is below its queue limit; of the origin, if
-    /// the request continues a stream. Returns the refusal to send if there is none.
+    /// Chooses a ready endpoint that has not been tried, is below its queue limit, and may get a request
+    /// within the limit that it names; of the origin, if the request continues a stream. Returns the
+    /// refusal to send if there is none.
+    pub async fn choose_within_limits(
+        &self,
+        req: &CallerRequest,
+        tried: &[EndpointName],
+        origin: Option<&StreamOrigin>,
+    ) -> Result<EndpointChoice, Refusal> {
+        let service = self.pick_service(req, origin)?;
+        loop {
+            let choices = self.choices(req, &service, tried, origin)?;
+            let chosen = choices.choose()?;
+            let is_limited = |i: usize| {
+                let key = choices.endpoint(i).load_key();
+                self.shared.limits().limit(key).is_some()
+            };
+            if !is_limited(chosen) {
+                return Ok(self.to_choice(&choices, chosen));
+            }
+            let others = (0..choices.usable.len()).filter(|i| *i != chosen && is_limited(*i));
+            let mut limited: Vec<usize> =
+                others.filter(|i| !choices.candidates[*i].avoid).collect();
+            limited.sort_by_key(|i| choices.candidates[*i].reported_online);
+            limited.insert(0, chosen);
+            let asked: Vec<&EndpointRecord> =
+                limited.iter().map(|i| choices.endpoint(*i)).collect();
+            // Without a permit, none of them is among the choices for a while.
+            if let Some(granted) = self.shared.take_permit(PermitClass::Online, &asked).await {
+                return Ok(self.to_choice(&choices, limited[granted]));
+            }
+        }
+    }
+
+    /// Chooses an endpoint like [`Self::choose_within_limits`], but takes no permit to send a request.
     pub fn choose(
         &self,
         req: &CallerRequest,
         tried: &[EndpointName],
         origin: Option<&StreamOrigin>,
     ) -> Result<EndpointChoice, Refusal> {
-        let endpoints = self.shared.endpoints.load();
-        let mut rng = rand::rng();
-        let none = || {
-            Refusal::not_run(RefusalReason::NoEndpoint, "no ready endpoint is left for the route")
-                .retry_after(RETRY_AFTER_MS)
-        };
-        let service = match origin {
-            Some(origin) => &origin.service,
-            None => req.route.pick_service(rng.random()).ok_or_else(none)?,
+        let service = self.pick_service(req, origin)?;
+        let choices = self.choices(req, &service, tried, origin)?;
+        let chosen = choices.choose()?;
+        Ok(self.to_choice(&choices, chosen))
+    }
+
+    fn pick_service(
+        &self,
+        req: &CallerRequest,
+        origin: Option<&StreamOrigin>,
+    ) -> Result<ServiceName, Refusal> {
+        let picked = match origin {
+            Some(origin) => Some(&origin.service),
+            None => req.route.pick_service(rand::rng().random()),
         };
+        picked.cloned().ok_or_else(no_endpoint)
+    }
+
+    fn choices(
+        &self,
+        req: &CallerRequest,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        origin: Option<&StreamOrigin>,
+    ) -> Result<Choices, Refusal> {
+        let endpoints = self.shared.endpoints.load_full();
         let leaving = self.shared.leaving();
-        let ready: Vec<&EndpointRecord> = endpoints
+        let ready: Vec<(usize, &EndpointRecord)> = endpoints
             .values()
-            .filter(|e| e.service == *service && e.state == EndpointState::Ready)
-            .filter(|e| !leaving.is_leaving(e))
-            .filter(|e| origin.is_none_or(|origin| e.software == origin.software))
-            .filter(|e| !tried.contains(&e.name))
+            .enumerate()
+            .filter(|(_, e)| e.service == *service && e.state == EndpointState::Ready)
+            .filter(|(_, e)| !leaving.is_leaving(e))
+            .filter(|(_, e)| origin.is_none_or(|origin| e.software == origin.software))
+            .filter(|(_, e)| !tried.contains(&e.name))
             .collect();
         drop(leaving);
         if ready.is_empty() {
-            return Err(none());
+            return Err(no_endpoint());
         }
         let now = self.shared.clock.now();
         let occupancy = self.shared.occupancy();
         let ejector = self.shared.ejector();
-        let limits = self.shared.queue_limits();
+        let queue_limits = self.shared.queue_limits();
+        let limits = self.shared.limits();
         let target_ms = req.route.target_ms;
-        let mut usable: Vec<&EndpointRecord> = Vec::with_capacity(ready.len());
-        let mut candidates: Vec<Candidate> = Vec::with_capacity(ready.len());
-        for endpoint in ready {
-            let load = occupancy.total_load(endpoint.load_key(), now);
-            let max = limits.max_online(service, endpoint.slots, target_ms, req.is_retry);
+        let mut usable = Vec::with_capacity(ready.len());
+        let mut candidates = Vec::with_capacity(ready.len());
+        let mut shortest_ms: Option<u64> = None;
+        for (position, endpoint) in ready {
+            let key = endpoint.load_key();
+            let load = occupancy.total_load(key, now);
+            let max = queue_limits.max_online(service, endpoint.slots, target_ms, req.is_retry);
             if load.online >= max {
                 continue;
             }
-            usable.push(endpoint);
+            let limited_ms = limits.wait_ms(key, now);
+            if limited_ms > 0 {
+                shortest_ms = Some(shortest_ms.map_or(limited_ms, |ms| ms.min(limited_ms)));
+                continue;
+            }
+            let cold_ms = if endpoint.is_cold { COLD_WAIT_MS } else { 0 };
+            let spared_ms = if limits.is_spared(key, now) { LIMITED_WAIT_MS } else { 0 };
+            usable.push(position);
             candidates.push(Candidate {
-                name_hash: endpoint.load_key(),
+                name_hash: key,
                 near: endpoint.zone == self.shared.settings.zone,
-                own_in_flight: occupancy.own_load(endpoint.load_key()).online,
+                own_in_flight: occupancy.own_load(key).online,
                 reported_online: load.total(),
                 limit: endpoint.slots,
-                reported_wait_ms: if endpoint.is_cold { COLD_WAIT_MS } else { 0 },
+                reported_wait_ms: cold_ms + spared_ms,
                 avoid: ejector.is_ejected(&endpoint.name, now),
             });
         }
+        drop((occupancy, ejector, queue_limits, limits));
+        let mut choices = Choices { endpoints, usable, candidates, limited_ms: shortest_ms };
         if origin.is_some() {
-            self.prefer_held(&usable, &mut candidates);
+            self.prefer_held(&mut choices);
         }
-        match choose_endpoint(RoutingMode::LeastLoaded, &candidates, None, &mut rng) {
-            Some(chosen) => Ok(EndpointChoice {
-                endpoint: usable[chosen].clone(),
-                in_flight: candidates[chosen].reported_online,
-                view_age_ms: occupancy.max_report_age_ms(now),
-            }),
-            None => Err(Refusal::not_run(
-                RefusalReason::Busy,
-                "every ready endpoint is at its queue limit",
-            )
-            .retry_after(retry_after_ms(rng.random()))),
+        Ok(choices)
+    }
+
+    fn to_choice(&self, choices: &Choices, chosen: usize) -> EndpointChoice {
+        EndpointChoice {
+            endpoint: choices.endpoint(chosen).clone(),
+            in_flight: choices.candidates[chosen].reported_online,
+            view_age_ms: self.shared.occupancy().max_report_age_ms(self.shared.clock.now()),
         }
     }
 
     /// Marks the endpoints whose version would have to be waited for longest, if there are others.
-    fn prefer_held(&self, usable: &[&EndpointRecord], candidates: &mut [Candidate]) {
+    fn prefer_held(&self, choices: &mut Choices) {
         let stale_ms = self.shared.endpoints_stale_ms();
-        let wait_ms = |endpoint: &EndpointRecord| {
-            let held_ms = self.pool.held_ms(endpoint.address).unwrap_or(0);
+        let wait_ms = |position: usize| {
+            let held_ms = self.pool.held_ms(choices.endpoint(position).address).unwrap_or(0);
             certain_in_ms(held_ms, stale_ms)
         };
-        let waits: Vec<u64> = usable.iter().map(|e| wait_ms(e)).collect();
-        let usable_waits = candidates.iter().zip(&waits).filter(|(c, _)| !c.avoid);
+        let waits: Vec<u64> = (0..choices.usable.len()).map(wait_ms).collect();
+        let usable_waits = choices.candidates.iter().zip(&waits).filter(|(c, _)| !c.avoid);
         let Some(shortest) = usable_waits.map(|(_, wait)| *wait).min() else { return };
-        candidates.iter_mut().zip(&waits).for_each(|(c, wait)| c.avoid |= *wait > shortest);
+        let candidates = choices.candidates.iter_mut().zip(&waits);
+        candidates.for_each(|(c, wait)| c.avoid |= *wait > shortest);
     }
 }
+
+impl Choices {
+    fn endpoint(&self, position: usize) -> &EndpointRecord {
+        &self.endpoints[self.usable[position]]
+    }
+
+    /// Returns the position of the endpoint to choose, or the refusal if there is none.
+    fn choose(&self) -> Result<usize, Refusal> {
+        let mut rng = rand::rng();
+        let chosen = choose_endpoint(RoutingMode::LeastLoaded, &self.candidates, None, &mut rng);
+        chosen.ok_or_else(|| match self.limited_ms {
+            Some(limited_ms) => Refusal::not_run(
+                RefusalReason::EndpointLimit,
+                "every ready endpoint below its queue limit has had what its own limit allows",
+            )
+            .retry_after(retry_after_ms(rng.random()).max(u32::try_from(limited_ms).unwrap_or(0))),
+            None => {
+                Refusal::not_run(RefusalReason::Busy, "every ready endpoint is at its queue limit")
+                    .retry_after(retry_after_ms(rng.random()))
+            }
+        })
+    }
+}
+
+fn no_endpoint() -> Refusal {
+    Refusal::not_run(RefusalReason::NoEndpoint, "no ready endpoint is left for the route")
+        .retry_after(RETRY_AFTER_MS)
+}
--- a/crates/mulberry-direct/src/dialect.rs
+++ b/crates/mulberry-direct/src/dialect.rs
@@ -40,6 +40,8 @@
     pub expected_endpoint: HeaderName,
     /// Marks the responses of an endpoint that leaves.
     pub leaving: HeaderName,
+    /// Names how many requests a second an endpoint takes from all processes together.
+    pub endpoint_limit: HeaderName,
     /// Marks a response whose request did not run.
     pub not_run: HeaderName,
     /// Parts of a request's prompt, in order.
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -46,8 +46,8 @@
     NotRun {
         /// HTTP status of the response.
         status: StatusCode,
-        /// Whether it also said that it leaves.
-        is_leaving: bool,
+        /// What it said of itself.
+        notice: EndpointNotice,
     },
     /// The connection broke or the response was invalid; the request may have run.
     #[error("the exchange failed: {detail}")]
@@ -78,6 +78,53 @@
     }
 }
 
+/// What an endpoint says in a response of its limit of requests a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NamedLimit {
+    /// It takes so many from all processes together.
+    PerSecond(f64),
+    /// It names none.
+    None,
+    /// The response does not tell.
+    Unknown,
+}
+
+/// What an endpoint says of itself in a response, beside the response to the request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EndpointNotice {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// Its limit of requests a second.
+    pub limit: NamedLimit,
+}
+
+impl EndpointNotice {
+    fn read(
+        names: &HeaderNames,
+        status: StatusCode,
+        is_not_run: bool,
+        headers: &HeaderMap,
+    ) -> Self {
+        // Status 421 is another endpoint's.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Self { is_leaving: false, limit: NamedLimit::Unknown };
+        }
+        let limit = match headers.get(&names.endpoint_limit) {
+            Some(value) => parse_limit(value),
+            // What refuses requests for an endpoint may not be the endpoint itself.
+            None if is_not_run || status.is_server_error() => NamedLimit::Unknown,
+            None => NamedLimit::None,
+        };
+        Self { is_leaving: headers.contains_key(&names.leaving), limit }
+    }
+}
+
+/// Parses a limit. One that can't be read, or is negative, tells nothing.
+fn parse_limit(value: &HeaderValue) -> NamedLimit {
+    let number: Option<f64> = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    number.filter(|n| n.is_finite() && *n >= 0.0).map_or(NamedLimit::Unknown, NamedLimit::PerSecond)
+}
+
 /// A response whose head has arrived and whose body is read by chunks.
 #[derive(Debug)]
 pub struct EndpointResponse {
@@ -88,8 +135,8 @@
     /// Time for which connections to the endpoint had been held when the request was sent, in
     /// milliseconds.
     pub held_ms: u64,
-    /// Whether the endpoint says that it leaves.
-    pub is_leaving: bool,
+    /// What the endpoint says of itself.
+    pub notice: EndpointNotice,
     /// What says where the body ends.
     pub framing: BodyFraming,
     body: Incoming,
@@ -213,9 +260,7 @@
         return Err(ExchangeError::invalid("the response has the ID of another request"));
     }
     let not_run = headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
-    // Status 421 is another endpoint's.
-    let is_leaving =
-        headers.contains_key(&names.leaving) && status != StatusCode::MISDIRECTED_REQUEST;
+    let notice = EndpointNotice::read(names, status, not_run, &headers);
     let reusable = !has_connection_close(&headers) && head.version == hyper::Version::HTTP_11;
     let keep_alive = parse_keep_alive(&headers);
     let framing = body_framing(&headers);
@@ -227,7 +272,7 @@
         status,
         headers,
         held_ms,
-        is_leaving,
+        notice,
         framing,
         body,
         connection: Some(connection),
@@ -239,7 +284,7 @@
     if not_run {
         // The body is read only so that the connection can be reused.
         let _rest = response.read_all(MAX_REFUSAL_BYTES).await;
-        return Err(ExchangeError::NotRun { status, is_leaving });
+        return Err(ExchangeError::NotRun { status, notice });
     }
     if !response.headers.contains_key(&names.request_id) && status.is_success() {
         return Err(ExchangeError::invalid("the response has no request ID"));
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod handler;
 pub mod holds;
 pub mod job_calls;
+pub mod limits;
 pub mod metrics_server;
 pub mod origins;
 pub mod owner;
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -77,8 +77,8 @@
             (RunOutcome::Broken, detail)
         }
         Err(e @ (ExchangeError::NotRun { .. } | ExchangeError::NotSent { .. })) => {
-            if matches!(e, ExchangeError::NotRun { is_leaving: true, .. }) {
-                owner.shared.record_leaving(&spec.endpoint);
+            if let ExchangeError::NotRun { notice, .. } = e {
+                owner.shared.record_notice(&spec.endpoint, notice);
             }
             (RunOutcome::NotRun, e.to_string())
         }
@@ -141,11 +141,13 @@
         let held_ms = certain.map_err(|e| ExchangeError::NotSent { detail: e.detail })?;
         request.min_held_ms = Some(held_ms);
     }
+    if !owner.shared.may_send_item(&spec.endpoint).await {
+        let detail = "the endpoint has had what its limit allows".to_owned();
+        return Err(ExchangeError::NotSent { detail });
+    }
     let sending = exchange(&owner.pool, owner.shared.dialect.headers(), request);
     let mut response = with_read_timeout(sending).await?;
-    if response.is_leaving {
-        owner.shared.record_leaving(&spec.endpoint);
-    }
+    owner.shared.record_notice(&spec.endpoint, response.notice);
     match response.status.as_u16() {
         200..=299 => {}
         422 => return Ok(RunOutcome::Impossible),
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -181,6 +181,7 @@
     let now = owner.now();
     let occupancy = owner.shared.occupancy();
     let ejector = owner.shared.ejector();
+    let limits = owner.shared.limits();
     usable
         .iter()
         .map(|e| {
@@ -191,7 +192,7 @@
                 slots: e.slots,
                 online: all.online,
                 peer_batch: all.batch - occupancy.own_load(key).batch,
-                open: !ejector.is_ejected(&e.name, now),
+                open: !ejector.is_ejected(&e.name, now) && limits.wait_ms(key, now) == 0,
                 version: version_key(&origin_of(e)),
             }
         })
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -30,6 +30,8 @@
 use mulberry_protocol::error::ProtocolError;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::heartbeat::MAX_DATAGRAM_BYTES;
+use mulberry_protocol::limit::LimitMessage;
+use mulberry_protocol::limit::decode_limit_message;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EntryName;
 use mulberry_protocol::peer::Member;
@@ -165,6 +167,7 @@
                 }
             }
             Ok(Datagram::Stream(message)) => shared.apply_stream_message(message),
+            Ok(Datagram::Limit(message)) => shared.apply_limit_message(message),
             Err(e) => {
                 shared.metrics.count_reason("direct.datagrams_refused", "invalid");
                 log_event!(debug, Event::DatagramRefused, %from, error = %e);
@@ -177,13 +180,18 @@
 enum Datagram {
     Heartbeat(PeerDatagram),
     Stream(StreamMessage),
+    Limit(LimitMessage),
 }
 
 fn decode_datagram(bytes: &[u8], secrets: &SecretKeyring) -> Result<Datagram, ProtocolError> {
-    match decode_stream_message(secrets.verify_datagram(bytes)?)? {
-        Some(message) => Ok(Datagram::Stream(message)),
-        None => Ok(Datagram::Heartbeat(decode_peer_datagram(bytes, secrets)?)),
+    let payload = secrets.verify_datagram(bytes)?;
+    if let Some(message) = decode_stream_message(payload)? {
+        return Ok(Datagram::Stream(message));
     }
+    if let Some(message) = decode_limit_message(payload)? {
+        return Ok(Datagram::Limit(message));
+    }
+    Ok(Datagram::Heartbeat(decode_peer_datagram(bytes, secrets)?))
 }
 
 fn apply_heartbeat(shared: &SharedState, datagram: &PeerDatagram) {
@@ -197,6 +205,7 @@
     let sender = SuspectSender { name: name.clone(), incarnation, sequence: heartbeat.sequence };
     let told = told_suspects(&heartbeat.suspects, &datagram.details, &datagram.parts);
     shared.merge_suspects(&sender, &told);
+    shared.merge_limits(name, &datagram.limits);
     let report = LoadReport {
         incarnation,
         sequence: heartbeat.sequence,
@@ -242,7 +251,8 @@
         };
         let parts = told.iter().filter(|t| t.is_part).map(|t| t.suspect.fingerprint).collect();
         let details = told.into_iter().filter_map(|t| t.detail).collect();
-        let mut datagram = PeerDatagram { heartbeat, details, parts };
+        let limits = shared.limits().limits_to_tell(shared.clock.now());
+        let mut datagram = PeerDatagram { heartbeat, details, parts, limits };
         for (next_ms, addresses) in due_addresses_by_interval(&shared, &datagram.heartbeat) {
             datagram.heartbeat.next_ms = next_ms;
             match encode_peer_datagram(&datagram, &secrets) {
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -247,7 +247,7 @@
             }
             Some(_) | None => Vec::new(),
         };
-        let choice = self.choose(req, &attempts.tried, origin)?;
+        let choice = self.choose_within_limits(req, &attempts.tried, origin).await?;
         for key in needed_trials {
             self.shared.claim_online_trial(key).await?;
             attempts.has_trial = true;
@@ -322,9 +322,7 @@
         let names = self.shared.dialect.headers();
         let exchanged = exchange(&self.pool, names, request).await;
         let mut response = watch_failure(&mut watch, exchanged).await?;
-        if response.is_leaving {
-            self.shared.record_leaving(&choice.endpoint);
-        }
+        self.shared.record_notice(&choice.endpoint, response.notice);
         if req.route.kind == RouteKind::Stream && response.status.is_success() {
             let choice = choice.clone();
             let open =
@@ -360,10 +358,8 @@
                 self.record_failure(endpoint, "not-sent");
                 Refusal::not_run(RefusalReason::LinkFailed, detail).into()
             }
-            ExchangeError::NotRun { status, is_leaving } => {
-                if is_leaving {
-                    self.shared.record_leaving(endpoint);
-                }
+            ExchangeError::NotRun { status, notice } => {
+                self.shared.record_notice(endpoint, notice);
                 let reason = match status {
                     StatusCode::MISDIRECTED_REQUEST => RefusalReason::NotReady,
                     _ => RefusalReason::Busy,
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -42,6 +42,8 @@
 use mulberry_protocol::time::Millis;
 
 use crate::dialect::Dialect;
+use crate::exchange::EndpointNotice;
+use crate::limits::LimitDesk;
 use crate::origins::OriginDesk;
 use crate::settings::DirectSettings;
 use crate::trials::TrialDesk;
@@ -98,6 +100,7 @@
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
     pub(crate) trials: TrialDesk,
     pub(crate) origins: OriginDesk,
+    pub(crate) limit_desk: LimitDesk,
     /// Socket for datagrams to peers, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     version_history: Mutex<VersionHistory>,
@@ -144,6 +147,7 @@
             crash_suspects: Mutex::default(),
             trials: TrialDesk::default(),
             origins: OriginDesk::default(),
+            limit_desk: LimitDesk::default(),
             datagrams: OnceLock::new(),
             version_history: Mutex::default(),
             endpoints_stale_since: AtomicU64::new(NOT_STALE),
@@ -216,6 +220,14 @@
         }
     }
 
+    /// Records what an endpoint says of itself in a response.
+    pub fn record_notice(&self, endpoint: &EndpointRecord, notice: EndpointNotice) {
+        if notice.is_leaving {
+            self.record_leaving(endpoint);
+        }
+        self.record_named_limit(endpoint, notice.limit);
+    }
+
     /// Records what a process reports about the store, and restarts the pending watch calls if the
     /// report shows that they may never be answered.
     pub fn record_store_report(&self, reporter: &EntryName, report: StoreReport) {
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -381,6 +382,8 @@
         let endpoints = registry.endpoints().values();
         shared.version_history().record(endpoints, shared.clock.now());
     }
+    let keys: IndexSet<u64> = registry.endpoints().values().map(|e| e.load_key()).collect();
+    shared.limits().retain(|key| keys.contains(&key));
     shared.ejector().retain(|name| registry.endpoints().contains_key(name));
     shared.endpoints.store(Arc::new(registry.endpoints().clone()));
 }
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -202,7 +202,7 @@
                 return false;
             }
             let origin = origin.as_ref();
-            let choice = self.relay.choose(&self.req, &self.tried, origin);
+            let choice = self.relay.choose_within_limits(&self.req, &self.tried, origin).await;
             let Ok(choice) = choice else { return false };
             if let Some(origin) = origin
                 && !self.confirm_origin(&choice, origin).await
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crash_suspects;
 pub mod ejection;
 pub mod endpoint_continuity;
+pub mod endpoint_limits;
 pub mod endpoint_registry;
 pub mod fault_injection;
 pub mod heartbeat_interval;
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -158,6 +158,10 @@
     StreamTakenUp = 703, "stream taken up";
     /// An endpoint said in a response that it leaves.
     EndpointLeaving = 704, "endpoint says that it leaves";
+    /// An endpoint named another limit of requests a second than before, or none.
+    EndpointLimitChanged = 705, "limit of an endpoint changed";
+    /// A process that gives permits for endpoints with limits did not answer.
+    PermitsUnanswered = 706, "permits not answered";
     /// An operator's command changed the deployment.
     OperatorCommand = 800, "operator command";
 }
--- a/crates/mulberry-protocol/src/lib.rs
+++ b/crates/mulberry-protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event;
 pub mod heartbeat;
 pub mod job;
+pub mod limit;
 pub mod link;
 pub mod name;
 pub mod object_key;
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -9,6 +9,7 @@
 use crate::closed_set;
 use crate::error::ProtocolError;
 use crate::heartbeat::Suspect;
+use crate::limit::SeenLimit;
 use crate::name::EntryName;
 use crate::value_type;
 
@@ -124,6 +125,8 @@
     pub details: Vec<SuspectDetail>,
     /// Fingerprints of those suspects that are parts of prompts. Empty from earlier builds.
     pub parts: Vec<u64>,
+    /// Limits of endpoints that have changed lately. Empty from earlier builds.
+    pub limits: Vec<SeenLimit>,
 }
 
 /// Encodes and signs a heartbeat as a datagram.
@@ -132,9 +135,11 @@
     secrets: &SecretKeyring,
 ) -> Result<Vec<u8>, ProtocolError> {
     let mut payload = postcard::to_stdvec(&datagram.heartbeat)?;
-    if !(datagram.details.is_empty() && datagram.parts.is_empty()) {
-        payload.extend(postcard::to_stdvec(&datagram.details)?);
-        payload.extend(postcard::to_stdvec(&datagram.parts)?);
+    let PeerDatagram { details, parts, limits, .. } = datagram;
+    if !(details.is_empty() && parts.is_empty() && limits.is_empty()) {
+        payload.extend(postcard::to_stdvec(details)?);
+        payload.extend(postcard::to_stdvec(parts)?);
+        payload.extend(postcard::to_stdvec(limits)?);
     }
     Ok(secrets.sign_datagram(&payload))
 }
@@ -147,8 +152,9 @@
     let payload = secrets.verify_datagram(datagram)?;
     let (heartbeat, rest) = postcard::take_from_bytes(payload)?;
     let (details, rest) = take_list(rest)?;
-    let (parts, _later) = take_list(rest)?;
-    Ok(PeerDatagram { heartbeat, details, parts })
+    let (parts, rest) = take_list(rest)?;
+    let (limits, _later) = take_list(rest)?;
+    Ok(PeerDatagram { heartbeat, details, parts, limits })
 }
 
 /// Decodes a list and returns what stands behind it. Where an earlier build ends, the list is empty.
--- a/crates/mulberry-protocol/src/refusal.rs
+++ b/crates/mulberry-protocol/src/refusal.rs
@@ -111,6 +111,8 @@
     StaleOwner => "stale-owner", 409;
     /// A stream can't go on, since it is not known which software version began it.
     StreamOrigin => "stream-origin", 503;
+    /// The endpoints that could take the request have had what their limits allow.
+    EndpointLimit => "endpoint-limit", 503;
 }
 
 /// A refusal of a request, sent over links and to callers.
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -19,6 +19,7 @@
 use mulberry_protocol::heartbeat::Suspect;
 use mulberry_protocol::heartbeat::decode_heartbeat;
 use mulberry_protocol::heartbeat::encode_heartbeat;
+use mulberry_protocol::limit::SeenLimit;
 use mulberry_protocol::link::FromOwner;
 use mulberry_protocol::link::FromSide;
 use mulberry_protocol::link::Hello;
@@ -160,7 +161,8 @@
         loads: Vec::new(),
         suspects: vec![Suspect { fingerprint: 9, crashes: 4, recent: false, confirmed: true }],
     };
-    PeerDatagram { heartbeat, details, parts: vec![9] }
+    let limits = vec![SeenLimit { endpoint: 3, per_s: Some(0.5), seen_ms_ago: 20 }];
+    PeerDatagram { heartbeat, details, parts: vec![9], limits }
 }
 
 /// Guards against builds that can't hear each other during an upgrade: earlier ones send and read a
