A request that crashes endpoints is known whoever sends it

Cause: the caller's address was part of the request's fingerprint, and the request comes from many addresses, so that each address had its own three crashes. Ruled out: entries that don't hear each other (convictions arrive within 0.6 s), completed runs (no 606). Change: the fingerprint is of method, host, path, query and body. Logs of failed attempts name the address. Why it works: what crashes endpoints is in the request; whoever sends it, its crashes count together.

--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -137,7 +137,6 @@
     let is_retry = shared.queue_limits().detect_retry(&route.name, deadline_ms);
     let method = convert_method(req)?;
     let target = req.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
-    let address = req.peer_addr().map(|a| a.ip());
     let host = host_without_port(req);
     let prompt = text_header(req, &shared.dialect.headers().prompt);
     let part_ids = prompt.as_deref().map(|value| shared.dialect.parse_shared_parts(value));
@@ -145,7 +144,8 @@
         parts: part_fingerprints(&part_ids.unwrap_or_default()),
         route,
         version: configuration.version,
-        fingerprint: online_fingerprint(&method, host, &target, &body, address),
+        fingerprint: online_fingerprint(&method, host, &target, &body),
+        caller: req.peer_addr().map(|a| a.ip()),
         method,
         target,
         headers: forwarded_headers(req),
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays online requests: chooses an endpoint, sends the request, and retries at other endpoints
 //! where the route allows it.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,6 +75,8 @@
     pub request_id: HeaderValue,
     /// Fingerprint, which stays the same when the caller sends the request again under another ID.
     pub fingerprint: u64,
+    /// Address from which it came, if that is known.
+    pub caller: Option<IpAddr>,
     /// Fingerprints of the parts of its prompt that other requests may have too.
     pub parts: Arc<[u64]>,
     /// The buffered body, which is sent again at each attempt.
@@ -94,6 +97,11 @@
         self.request_id.to_str().unwrap_or("")
     }
 
+    /// Returns the caller's address for log lines, empty if it is not known.
+    pub fn caller_text(&self) -> String {
+        self.caller.map_or_else(String::new, |address| address.to_string())
+    }
+
     /// Returns what the request is known by where it is suspected of crashing endpoints.
     pub fn keys(&self) -> RequestKeys<'_> {
         RequestKeys { fingerprint: self.fingerprint, parts: &self.parts }
@@ -435,6 +443,7 @@
             run = refusal.run.as_str(),
             detail = refusal.detail,
             fingerprint = fingerprint_text(req.fingerprint),
+            caller = %req.caller_text(),
             prompt = parts_text(&req.parts),
             broke = failure.cause.map_or("", BreakCause::as_str),
             verdict = ?decision,
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -278,6 +278,7 @@
             framing = self.open.response.framing.as_str(),
             position = self.end.position().as_str(),
             fingerprint = fingerprint_text(self.req.fingerprint),
+            caller = %self.req.caller_text(),
             prompt = parts_text(&self.req.parts),
             broke = cause.map_or("", BreakCause::as_str),
             detail
