A request waits for three answers about permits at the most

What callers would have seen: where permits are fought over, a refusal that comes late, since an endpoint whose next permit is due in a few milliseconds is asked for again and again. What can't be served is refused at once, so that after three questions endpoints with limits are left out.

--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use mulberry_policy::endpoint_continuity::certain_in_ms;
+use mulberry_policy::endpoint_limits::EndpointLimits;
 use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::routing::COLD_WAIT_MS;
 use mulberry_policy::routing::Candidate;
@@ -26,6 +27,9 @@
 /// `Retry-After` of requests that are refused because no endpoint is ready, in milliseconds.
 const RETRY_AFTER_MS: u32 = 400;
 
+/// Most questions for permits that one choice waits for.
+const MAX_QUESTIONS: u32 = 3;
+
 /// Wait that is assumed at an endpoint with a limit, so that the others are chosen first, in milliseconds.
 const LIMITED_WAIT_MS: u32 = 250;
 
@@ -62,8 +66,12 @@
         origin: Option<&StreamOrigin>,
     ) -> Result<EndpointChoice, Refusal> {
         let service = self.pick_service(req, origin)?;
+        let mut questions = 0;
         loop {
-            let choices = self.choices(req, &service, tried, origin)?;
+            let mut choices = self.choices(req, &service, tried, origin)?;
+            if questions >= MAX_QUESTIONS {
+                choices.leave_out_limited(&self.shared.limits());
+            }
             let chosen = choices.choose()?;
             let is_limited = |i: usize| {
                 let key = choices.endpoint(i).load_key();
@@ -79,6 +87,7 @@
             limited.insert(0, chosen);
             let asked: Vec<&EndpointRecord> =
                 limited.iter().map(|i| choices.endpoint(*i)).collect();
+            questions += 1;
             // Without a permit, none of them is among the choices for a while.
             if let Some(granted) = self.shared.take_permit(PermitClass::Online, &asked).await {
                 return Ok(self.to_choice(&choices, limited[granted]));
@@ -198,6 +207,19 @@
 }
 
 impl Choices {
+    /// Leaves out the endpoints that may get a request with a permit only.
+    fn leave_out_limited(&mut self, limits: &EndpointLimits) {
+        let before = self.candidates.len();
+        let is_free = |c: &Candidate| limits.limit(c.name_hash).is_none();
+        let kept: Vec<bool> = self.candidates.iter().map(is_free).collect();
+        let mut kept_usable = kept.iter();
+        self.usable.retain(|_| kept_usable.next() == Some(&true));
+        self.candidates.retain(is_free);
+        if self.candidates.len() < before {
+            self.limited_ms.get_or_insert(0);
+        }
+    }
+
     fn endpoint(&self, position: usize) -> &EndpointRecord {
         &self.endpoints[self.usable[position]]
     }
