What endpoints say of themselves is read in one place, and limits that can't be read are counted

A limit that is no number told nothing, without a line or a count. Cause: it was mapped to 'unknown'.

--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -28,6 +28,8 @@
 use crate::connection::ConnectionPool;
 use crate::connection::SendError;
 use crate::dialect::HeaderNames;
+use crate::endpoint_notice::EndpointNotice;
+use crate::endpoint_notice::read_notice;
 
 /// Maximum number of closed idle connections that one exchange replaces by another connection.
 const MAX_STALE_CONNECTIONS: u32 = 3;
@@ -78,53 +80,6 @@
     }
 }
 
-/// What an endpoint says in a response of its limit of requests a second.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum NamedLimit {
-    /// It takes so many from all processes together.
-    PerSecond(f64),
-    /// It names none.
-    None,
-    /// The response does not tell.
-    Unknown,
-}
-
-/// What an endpoint says of itself in a response, beside the response to the request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EndpointNotice {
-    /// Whether it leaves.
-    pub is_leaving: bool,
-    /// Its limit of requests a second.
-    pub limit: NamedLimit,
-}
-
-impl EndpointNotice {
-    fn read(
-        names: &HeaderNames,
-        status: StatusCode,
-        is_not_run: bool,
-        headers: &HeaderMap,
-    ) -> Self {
-        // Status 421 is another endpoint's.
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return Self { is_leaving: false, limit: NamedLimit::Unknown };
-        }
-        let limit = match headers.get(&names.endpoint_limit) {
-            Some(value) => parse_limit(value),
-            // What refuses requests for an endpoint may not be the endpoint itself.
-            None if is_not_run || status.is_server_error() => NamedLimit::Unknown,
-            None => NamedLimit::None,
-        };
-        Self { is_leaving: headers.contains_key(&names.leaving), limit }
-    }
-}
-
-/// Parses a limit. One that can't be read, or is negative, tells nothing.
-fn parse_limit(value: &HeaderValue) -> NamedLimit {
-    let number: Option<f64> = value.to_str().ok().and_then(|text| text.trim().parse().ok());
-    number.filter(|n| n.is_finite() && *n >= 0.0).map_or(NamedLimit::Unknown, NamedLimit::PerSecond)
-}
-
 /// A response whose head has arrived and whose body is read by chunks.
 #[derive(Debug)]
 pub struct EndpointResponse {
@@ -260,7 +215,7 @@
         return Err(ExchangeError::invalid("the response has the ID of another request"));
     }
     let not_run = headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
-    let notice = EndpointNotice::read(names, status, not_run, &headers);
+    let notice = read_notice(names, status, not_run, &headers);
     let reusable = !has_connection_close(&headers) && head.version == hyper::Version::HTTP_11;
     let keep_alive = parse_keep_alive(&headers);
     let framing = body_framing(&headers);
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod continuation;
 pub mod crashes;
 pub mod dialect;
+pub mod endpoint_notice;
 pub mod entry;
 pub mod exchange;
 pub mod fingerprint;
--- a/crates/mulberry-direct/src/limits.rs
+++ b/crates/mulberry-direct/src/limits.rs
@@ -31,7 +31,7 @@
 use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::time::Millis;
 
-use crate::exchange::NamedLimit;
+use crate::endpoint_notice::NamedLimit;
 use crate::shared::Peer;
 use crate::shared::SharedState;
 use crate::shared::lock;
@@ -85,6 +85,11 @@
             NamedLimit::PerSecond(per_s) => Some(per_s),
             NamedLimit::None => None,
             NamedLimit::Unknown => return,
+            NamedLimit::Unreadable => {
+                self.metrics.count("direct.limits_unreadable");
+                log_event!(debug, Event::EndpointLimitUnreadable, endpoint = %endpoint.name);
+                return;
+            }
         };
         let now = self.clock.now();
         if self.limits().record(endpoint.load_key(), per_s, now, now) {
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -42,7 +42,7 @@
 use mulberry_protocol::time::Millis;
 
 use crate::dialect::Dialect;
-use crate::exchange::EndpointNotice;
+use crate::endpoint_notice::EndpointNotice;
 use crate::limits::LimitDesk;
 use crate::origins::OriginDesk;
 use crate::settings::DirectSettings;
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -162,6 +162,8 @@
     EndpointLimitChanged = 705, "limit of an endpoint changed";
     /// A process that gives permits for endpoints with limits did not answer.
     PermitsUnanswered = 706, "permits not answered";
+    /// An endpoint named a limit that can't be read, which is ignored.
+    EndpointLimitUnreadable = 707, "limit of an endpoint unreadable";
     /// An operator's command changed the deployment.
     OperatorCommand = 800, "operator command";
 }
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -19,7 +19,12 @@
 use mulberry_protocol::heartbeat::Suspect;
 use mulberry_protocol::heartbeat::decode_heartbeat;
 use mulberry_protocol::heartbeat::encode_heartbeat;
+use mulberry_protocol::limit::LimitMessage;
+use mulberry_protocol::limit::PermitClass;
+use mulberry_protocol::limit::PermitDecision;
 use mulberry_protocol::limit::SeenLimit;
+use mulberry_protocol::limit::decode_limit_message;
+use mulberry_protocol::limit::encode_limit_message;
 use mulberry_protocol::link::FromOwner;
 use mulberry_protocol::link::FromSide;
 use mulberry_protocol::link::Hello;
@@ -200,7 +205,7 @@
 /// Guards against builds that take each other's datagrams for something else during an upgrade: earlier
 /// ones know heartbeats only.
 #[test]
-fn messages_about_streams_and_heartbeats_are_told_apart() {
+fn messages_about_streams_and_limits_and_heartbeats_are_told_apart() {
     let secrets = keyring("the-secret-of-all-peers");
     let origin = StreamOrigin { service: "svc".into(), software: "v1".into() };
     let reply_to = SocketAddr::from((Ipv4Addr::LOCALHOST, 7_660));
@@ -216,7 +221,22 @@
         assert_eq!(decode_stream_message(payload).unwrap(), Some(message));
         assert!(decode_peer_datagram(&datagram, &secrets).is_err(), "an earlier build refuses it");
     }
+    let seen = SeenLimit { endpoint: u64::MAX, per_s: None, seen_ms_ago: 1 };
+    let decision = PermitDecision { granted: None, waits_ms: vec![400] };
+    let (class, endpoints) = (PermitClass::Online, vec![seen]);
+    let messages = [
+        LimitMessage::Ask { question: u64::MAX, reply_to, class, endpoints },
+        LimitMessage::Answer { question: 1, decision },
+    ];
+    for message in messages {
+        let datagram = encode_limit_message(&message, &secrets).unwrap();
+        let payload = secrets.verify_datagram(&datagram).unwrap();
+        assert_eq!(decode_limit_message(payload).unwrap(), Some(message));
+        assert_eq!(decode_stream_message(payload).unwrap(), None);
+        assert!(decode_peer_datagram(&datagram, &secrets).is_err(), "an earlier build refuses it");
+    }
     let heartbeat = encode_peer_datagram(&peer_datagram(Vec::new()), &secrets).unwrap();
     let payload = secrets.verify_datagram(&heartbeat).unwrap();
     assert_eq!(decode_stream_message(payload).unwrap(), None);
+    assert_eq!(decode_limit_message(payload).unwrap(), None);
 }
