Questions for permits look at the known entries without copying them

What it costs: at 360 entries each question copied the record of every entry, at the process that asks and at the one that gives permits. No behaviour changes: the tests of limits hold. The endpoints that take requests are found in a function of their own, apart from their loads.

--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -128,16 +128,7 @@
         origin: Option<&StreamOrigin>,
     ) -> Result<Choices, Refusal> {
         let endpoints = self.shared.endpoints.load_full();
-        let leaving = self.shared.leaving();
-        let ready: Vec<(usize, &EndpointRecord)> = endpoints
-            .values()
-            .enumerate()
-            .filter(|(_, e)| e.service == *service && e.state == EndpointState::Ready)
-            .filter(|(_, e)| !leaving.is_leaving(e))
-            .filter(|(_, e)| origin.is_none_or(|origin| e.software == origin.software))
-            .filter(|(_, e)| !tried.contains(&e.name))
-            .collect();
-        drop(leaving);
+        let ready = self.ready_endpoints(&endpoints, service, tried, origin);
         if ready.is_empty() {
             return Err(no_endpoint());
         }
@@ -183,6 +174,25 @@
         Ok(choices)
     }
 
+    /// Returns the endpoints that take requests and have not been tried, with their positions.
+    fn ready_endpoints<'a>(
+        &self,
+        endpoints: &'a Endpoints,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        origin: Option<&StreamOrigin>,
+    ) -> Vec<(usize, &'a EndpointRecord)> {
+        let leaving = self.shared.leaving();
+        endpoints
+            .values()
+            .enumerate()
+            .filter(|(_, e)| e.service == *service && e.state == EndpointState::Ready)
+            .filter(|(_, e)| !leaving.is_leaving(e))
+            .filter(|(_, e)| origin.is_none_or(|origin| e.software == origin.software))
+            .filter(|(_, e)| !tried.contains(&e.name))
+            .collect()
+    }
+
     fn to_choice(&self, choices: &Choices, chosen: usize) -> EndpointChoice {
         EndpointChoice {
             endpoint: choices.endpoint(chosen).clone(),
--- a/crates/mulberry-direct/src/limits.rs
+++ b/crates/mulberry-direct/src/limits.rs
@@ -201,7 +201,7 @@
             LimitMessage::Ask { question, reply_to, class, endpoints } => {
                 let now = self.clock.now();
                 let keys: Vec<u64> = endpoints.iter().map(|e| e.endpoint).collect();
-                let share = own_share(&self.other_entries_of(&self.known_entries()));
+                let share = self.with_other_entries(|others, _| own_share(others));
                 let decision = {
                     let mut limits = self.limits();
                     limits.merge(&endpoints, now);
@@ -219,41 +219,40 @@
     }
 
     fn permit_giver(&self, service: &ServiceName) -> Giver {
-        let entries = self.known_entries();
-        let others = self.other_entries_of(&entries);
         let is_entry = self.settings.callers.is_some();
         let own = is_entry.then_some(&self.settings.name);
-        match permit_giver(service, own, &others) {
+        self.with_other_entries(|others, addresses| match permit_giver(service, own, others) {
             PermitGiver::Own { share } => Giver::Own(share),
             PermitGiver::Other(position) => {
-                let member = &entries[position].member;
-                Giver::Peer(member.name.clone(), member.address)
+                Giver::Peer(others[position].name.clone(), addresses[position])
             }
-        }
+        })
     }
 
-    fn known_entries(&self) -> Vec<Peer> {
-        let peers = self.peers();
-        peers.values().filter(|p| p.member.role == PeerRole::Entry).cloned().collect()
-    }
-
-    fn other_entries_of<'a>(&self, entries: &'a [Peer]) -> Vec<OtherEntry<'a>> {
+    /// Calls `decide` with the other entries that this process knows, and with the address of each.
+    fn with_other_entries<T>(
+        &self,
+        decide: impl FnOnce(&[OtherEntry<'_>], &[SocketAddr]) -> T,
+    ) -> T {
         let now = self.clock.now();
-        let sender =
-            HeartbeatSender { role: PeerRole::Entry, owns_jobs: false, entries: entries.len() };
-        let receiver =
-            HeartbeatReceiver { role: PeerRole::Entry, owns_jobs: false, silent_ms: Some(0) };
-        let ttl_ms = load_ttl_ms(heartbeat_interval_ms(sender, receiver));
+        let peers = self.peers();
         let unanswered = lock(&self.limit_desk.unanswered);
         let is_passed_over =
             |name: &EntryName| unanswered.get(name).is_some_and(|u| u.passed_over_until > now);
-        let other = |peer: &'a Peer| {
-            let name = &peer.member.name;
-            let is_recent = peer.heard_at.is_some_and(|at| now.since(at) < ttl_ms);
-            let silent_ms = now.since(peer.heard_at.unwrap_or(peer.found_at));
-            OtherEntry { name, silent_ms, is_heard: is_recent && !is_passed_over(name) }
+        let entries = || peers.values().filter(|p| p.member.role == PeerRole::Entry);
+        let ttl_ms = heard_ttl_ms(entries().count());
+        let other = |peer| {
+            let Peer { member, heard_at, found_at, .. }: &Peer = peer;
+            let is_recent = heard_at.is_some_and(|at| now.since(at) < ttl_ms);
+            OtherEntry {
+                name: &member.name,
+                silent_ms: now.since(heard_at.unwrap_or(*found_at)),
+                is_heard: is_recent && !is_passed_over(&member.name),
+            }
         };
-        entries.iter().map(other).collect()
+        let others: Vec<OtherEntry<'_>> = entries().map(other).collect();
+        let addresses: Vec<SocketAddr> = entries().map(|p| p.member.address).collect();
+        decide(&others, &addresses)
     }
 
     fn send_limit_message(&self, to: SocketAddr, message: &LimitMessage) {
@@ -267,3 +266,12 @@
         }
     }
 }
+
+/// Returns the age up to which the last heartbeat of an entry shows that it is heard, where so many others
+/// are known, in milliseconds.
+fn heard_ttl_ms(other_entries: usize) -> u64 {
+    let role = PeerRole::Entry;
+    let sender = HeartbeatSender { role, owns_jobs: false, entries: other_entries };
+    let receiver = HeartbeatReceiver { role, owns_jobs: false, silent_ms: Some(0) };
+    load_ttl_ms(heartbeat_interval_ms(sender, receiver))
+}
