Streams are not joined from two versions after all entries were killed, and more of them go on

Cause: what nobody remembers went on at a service's only version once an entry had seen no other one for as long as the route's timeout. Callers may wait longer, also because the timeout was another one when the stream began, and an entry that was killed with all others had seen nothing before. An entry that had not read a new version yet made the same mistake. Change: the version must have been the only one for as long as any caller waits (60 s), and still be it when all that was registered at the take-up is known here. Each stream is told to a process of each role, so that the kill of all entries leaves one that remembers it; an entry that has just started asks those that it found in the store, heard or not. The price: on a service of one version a stream that nobody remembers goes on 60 s after the start of an entry instead of the route's timeout.

--- a/crates/mulberry-direct/src/continuation.rs
+++ b/crates/mulberry-direct/src/continuation.rs
@@ -1,8 +1,9 @@
 //! Requests of callers that take a stream up again: where it may go on.
 
+use std::time::Duration;
+
 use mulberry_policy::endpoint_continuity::REGISTRATION_LAG_MS;
 use mulberry_policy::stream_origins::ORIGIN_TTL_MS;
-use mulberry_protocol::name::SoftwareVersion;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::route::RouteKind;
@@ -29,7 +30,10 @@
             }
             None => None,
         };
-        let origin = origin.or_else(|| self.only_origin(req));
+        let origin = match origin {
+            Some(origin) => Some(origin),
+            None => self.only_origin(req).await,
+        };
         let is_target = |o: &StreamOrigin| req.route.targets.iter().any(|t| t.service == o.service);
         match origin.filter(is_target) {
             Some(origin) => Ok(Some(origin)),
@@ -51,19 +55,19 @@
     }
 
     /// Returns the origin of every stream of the route that can still be taken up, if its service has run
-    /// one version only for as long as a caller may wait.
-    fn only_origin(&self, req: &CallerRequest) -> Option<StreamOrigin> {
+    /// one version only for as long as any caller may wait. What is registered now is known here some
+    /// time later, so that it has to be the only version until then.
+    async fn only_origin(&self, req: &CallerRequest) -> Option<StreamOrigin> {
+        let likely = self.only_version(req)?;
+        tokio::time::sleep(Duration::from_millis(REGISTRATION_LAG_MS)).await;
+        self.only_version(req).filter(|origin| *origin == likely)
+    }
+
+    fn only_version(&self, req: &CallerRequest) -> Option<StreamOrigin> {
         let [target] = req.route.targets.as_slice() else { return None };
-        let span_ms = match req.route.timeout_ms {
-            0 => ORIGIN_TTL_MS,
-            timeout_ms => timeout_ms + REGISTRATION_LAG_MS,
-        };
         let history = self.shared.version_history();
-        let only = history.only_version(&target.service, span_ms, self.shared.clock.now());
-        let origin = |v: &SoftwareVersion| StreamOrigin {
-            service: target.service.clone(),
-            software: v.clone(),
-        };
-        only.map(origin)
+        let now = self.shared.clock.now();
+        let software = history.only_version(&target.service, ORIGIN_TTL_MS, now)?.clone();
+        Some(StreamOrigin { service: target.service.clone(), software })
     }
 }
--- a/crates/mulberry-direct/src/origins.rs
+++ b/crates/mulberry-direct/src/origins.rs
@@ -15,12 +15,12 @@
 use mulberry_policy::endpoint_continuity::certain_in_ms;
 use mulberry_policy::stream_origins::MAX_ASKED;
 use mulberry_policy::stream_origins::REGISTRARS;
+use mulberry_policy::stream_origins::Registrar;
 use mulberry_policy::stream_origins::StreamOrigins;
 use mulberry_policy::stream_origins::rank_registrars;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
-use mulberry_protocol::name::EntryName;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::stream_origin::OriginAnswer;
@@ -29,6 +29,7 @@
 use mulberry_protocol::stream_origin::encode_stream_message;
 
 use crate::connection::ConnectionPool;
+use crate::shared::Peer;
 use crate::shared::SharedState;
 use crate::shared::lock;
 
@@ -231,6 +232,10 @@
         self.send_stream_message(peers, &StreamMessage::Ask { stream, question, reply_to });
         let answers = async {
             let mut round = Round::Unknown;
+            // Which processes there are is read from the store soon after the start.
+            if peers.is_empty() {
+                return Round::Unanswered;
+            }
             for _ in peers {
                 match rx.recv().await {
                     Some(OriginAnswer::Known(origin)) => return Round::Known(origin),
@@ -264,15 +269,17 @@
         }
     }
 
-    /// Returns the addresses of the peers that are heard, those first that are told of the stream.
+    /// Returns the addresses of the peers that are heard or have just been found, those first that are
+    /// told of the stream.
     fn ranked_peers(&self, stream: u64) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let peers = self.peers();
-        let heard =
-            peers.values().filter(|p| p.heard_at.is_some_and(|at| now.since(at) < PEER_TTL_MS));
-        let (names, addresses): (Vec<EntryName>, Vec<SocketAddr>) =
-            heard.map(|p| (p.member.name.clone(), p.member.address)).unzip();
-        rank_registrars(stream, &names).into_iter().map(|i| addresses[i]).collect()
+        // A process that has just started has not heard from those that may know of earlier streams.
+        let is_recent = |p: &&Peer| now.since(p.heard_at.unwrap_or(p.found_at)) < PEER_TTL_MS;
+        let recent = peers.values().filter(is_recent).map(|p| &p.member);
+        let (registrars, addresses): (Vec<Registrar>, Vec<SocketAddr>) =
+            recent.map(|m| (Registrar { name: m.name.clone(), role: m.role }, m.address)).unzip();
+        rank_registrars(stream, &registrars).into_iter().map(|i| addresses[i]).collect()
     }
 
     fn send_stream_message(&self, to: &[SocketAddr], message: &StreamMessage) {
--- a/crates/mulberry-policy/src/stream_origins.rs
+++ b/crates/mulberry-policy/src/stream_origins.rs
@@ -9,21 +9,24 @@
 
 use mulberry_protocol::digest::stable_hash;
 use mulberry_protocol::name::EntryName;
+use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::stream_origin::OriginAnswer;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
-/// Time for which an origin is remembered, in milliseconds. No caller waits longer for a stream.
+/// Time for which an origin is remembered, in milliseconds. No caller waits longer for a stream, whatever
+/// its route's timeout, which may have been another one when the stream began.
 pub const ORIGIN_TTL_MS: u64 = 60_000;
 
 /// Largest number of origins that a process remembers; the oldest are dropped first.
 pub const MAX_ORIGINS: usize = 65_536;
 
-/// Number of processes that are told of each stream.
+/// Number of processes that are told of each stream: one of each role, since all of one role may be
+/// killed at once.
 pub const REGISTRARS: usize = 2;
 
 /// Number of processes up to which all are asked for an origin. Beyond it the first ones are, in the
-/// order in which they are told.
+/// order in which they are told, by turns of each role.
 pub const MAX_ASKED: usize = 24;
 
 /// What is known of one stream.
@@ -95,11 +98,25 @@
     }
 }
 
-/// Returns the indices of `processes`, those first that are told of the stream. Every process computes
-/// the same order for the same processes, and one more or less changes little.
-pub fn rank_registrars(stream: u64, processes: &[EntryName]) -> Vec<usize> {
+/// A process that may be told of streams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registrar {
+    /// Name of the process.
+    pub name: EntryName,
+    /// Role of the process.
+    pub role: PeerRole,
+}
+
+/// Returns the indices of `processes`, those first that are told of the stream, by turns an entry and
+/// an owner. Every process computes the same order for the same processes, and one more or less changes
+/// little.
+pub fn rank_registrars(stream: u64, processes: &[Registrar]) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..processes.len()).collect();
-    ranked
-        .sort_by_key(|i| std::cmp::Reverse(stable_hash(processes[*i].as_str().as_bytes(), stream)));
-    ranked
+    ranked.sort_by_key(|i| {
+        std::cmp::Reverse(stable_hash(processes[*i].name.as_str().as_bytes(), stream))
+    });
+    let (entries, owners): (Vec<usize>, Vec<usize>) =
+        ranked.into_iter().partition(|i| processes[*i].role == PeerRole::Entry);
+    let turns = entries.len().max(owners.len());
+    (0..turns).flat_map(|turn| [entries.get(turn), owners.get(turn)]).flatten().copied().collect()
 }
--- a/crates/mulberry-policy/tests/stream_origins.rs
+++ b/crates/mulberry-policy/tests/stream_origins.rs
@@ -2,9 +2,12 @@
 
 use mulberry_policy::stream_origins::MAX_ORIGINS;
 use mulberry_policy::stream_origins::ORIGIN_TTL_MS;
+use mulberry_policy::stream_origins::REGISTRARS;
+use mulberry_policy::stream_origins::Registrar;
 use mulberry_policy::stream_origins::StreamOrigins;
 use mulberry_policy::stream_origins::rank_registrars;
 use mulberry_protocol::name::EntryName;
+use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::stream_origin::OriginAnswer;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
@@ -81,13 +84,18 @@
     assert_eq!(origins.find(11), OriginAnswer::Known(origin("v1")));
 }
 
+fn processes(role: PeerRole, count: usize) -> Vec<Registrar> {
+    let process = |n| Registrar { name: EntryName::new(format!("{role:?}-{n}")), role };
+    (0..count).map(process).collect()
+}
+
 #[test]
 fn processes_with_different_views_agree_on_most_registrars() {
-    let all: Vec<EntryName> = (0..8).map(|n| EntryName::new(format!("entry-{n}"))).collect();
+    let all = processes(PeerRole::Entry, 8);
     let mut shuffled = all.clone();
     shuffled.reverse();
     let without_last = &all[..7];
-    let first = |stream, names: &[EntryName]| names[rank_registrars(stream, names)[0]].clone();
+    let first = |stream, of: &[Registrar]| of[rank_registrars(stream, of)[0]].clone();
     let agreeing = (0..800).filter(|s| first(*s, &all) == first(*s, without_last)).count();
     assert!(
         (0..800).all(|s| first(s, &all) == first(s, &shuffled)),
@@ -98,3 +106,21 @@
         all.iter().map(|name| (0..800).filter(|s| first(*s, &all) == *name).count()).collect();
     assert!(told.iter().all(|count| (50..150).contains(count)), "{told:?}");
 }
+
+/// Guards against streams that nobody remembers once all processes of one role were killed.
+#[test]
+fn each_role_is_told_of_each_stream() {
+    for (entries, owners) in [(1, 1), (4, 2), (88, 45), (2, 45)] {
+        let all =
+            [processes(PeerRole::Entry, entries), processes(PeerRole::Owner, owners)].concat();
+        for stream in 0..200 {
+            let ranked = rank_registrars(stream, &all);
+            let roles: Vec<PeerRole> = ranked.iter().map(|i| all[*i].role).collect();
+            let told = &roles[..REGISTRARS];
+            assert!(told.contains(&PeerRole::Entry) && told.contains(&PeerRole::Owner), "{told:?}");
+            assert_eq!(ranked.len(), all.len(), "each of them is ranked");
+        }
+    }
+    let only_owners = processes(PeerRole::Owner, 3);
+    assert_eq!(rank_registrars(1, &only_owners).len(), 3, "no entry is heard");
+}
