Many entries choose among a few random endpoints, hear their zone's loads sooner, and watch the store less often

Cause: each of 88 entries chose the least loaded of all endpoints by loads up to a second old, so that all ran to the same ones; and 88 entries renewed two watches every second and every two. Change: with more than eight other entries, the least loaded of two random endpoints of the own zone and two of the others; entries of one zone, which prefer the same endpoints, tell each other their loads ten times a second; the sums of loads are kept as reports come. Watches wait for shares of the bounds in the settings; each heartbeat tells the revision of the last change of endpoints that its sender has seen, and who does not know it sends its watch again.

--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -11,6 +11,7 @@
 use mulberry_policy::routing::Candidate;
 use mulberry_policy::routing::RoutingMode;
 use mulberry_policy::routing::choose_endpoint;
+use mulberry_policy::routing::mode_for_shared_loads;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::limit::PermitClass;
@@ -47,6 +48,8 @@
 /// Endpoints that a request may go to now, with their loads.
 struct Choices {
     endpoints: Arc<Endpoints>,
+    /// How one of them is chosen.
+    mode: RoutingMode,
     /// Positions among the endpoints.
     usable: Vec<usize>,
     candidates: Vec<Candidate>,
@@ -133,7 +136,8 @@
             return Err(no_endpoint());
         }
         let now = self.shared.clock.now();
-        let occupancy = self.shared.occupancy();
+        let mode = mode_for_shared_loads(self.shared.other_entries());
+        let mut occupancy = self.shared.occupancy();
         let ejector = self.shared.ejector();
         let queue_limits = self.shared.queue_limits();
         let limits = self.shared.limits();
@@ -167,7 +171,8 @@
             });
         }
         drop((occupancy, ejector, queue_limits, limits));
-        let mut choices = Choices { endpoints, usable, candidates, limited_ms: shortest_ms };
+        let limited_ms = shortest_ms;
+        let mut choices = Choices { endpoints, mode, usable, candidates, limited_ms };
         if origin.is_some() {
             self.prefer_held(&mut choices);
         }
@@ -237,7 +242,7 @@
     /// Returns the position of the endpoint to choose, or the refusal if there is none.
     fn choose(&self) -> Result<usize, Refusal> {
         let mut rng = rand::rng();
-        let chosen = choose_endpoint(RoutingMode::LeastLoaded, &self.candidates, None, &mut rng);
+        let chosen = choose_endpoint(self.mode, &self.candidates, None, &mut rng);
         chosen.ok_or_else(|| match self.limited_ms {
             Some(limited_ms) => Refusal::not_run(
                 RefusalReason::EndpointLimit,
--- a/crates/mulberry-direct/src/limits.rs
+++ b/crates/mulberry-direct/src/limits.rs
@@ -271,7 +271,8 @@
 /// are known, in milliseconds.
 fn heard_ttl_ms(other_entries: usize) -> u64 {
     let role = PeerRole::Entry;
-    let sender = HeartbeatSender { role, owns_jobs: false, entries: other_entries };
-    let receiver = HeartbeatReceiver { role, owns_jobs: false, silent_ms: Some(0) };
+    let sender =
+        HeartbeatSender { role, owns_jobs: false, entries: other_entries, near_entries: 0 };
+    let receiver = HeartbeatReceiver { role, owns_jobs: false, is_near: false, silent_ms: Some(0) };
     load_ttl_ms(heartbeat_interval_ms(sender, receiver))
 }
--- a/crates/mulberry-direct/src/owner/drain.rs
+++ b/crates/mulberry-direct/src/owner/drain.rs
@@ -42,7 +42,10 @@
                     }
                 }
             }
-            StoreChange::Failed | StoreChange::Unchanged | StoreChange::Paused => {}
+            StoreChange::Failed
+            | StoreChange::Unchanged
+            | StoreChange::UpTo(_)
+            | StoreChange::Paused => {}
         }
     })
     .await;
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -179,7 +179,7 @@
 /// Returns the load of each usable endpoint, in the form that the planner needs.
 fn endpoint_capacity(owner: &Owner, usable: &[&EndpointRecord]) -> Vec<SharedEndpoint> {
     let now = owner.now();
-    let occupancy = owner.shared.occupancy();
+    let mut occupancy = owner.shared.occupancy();
     let ejector = owner.shared.ejector();
     let limits = owner.shared.limits();
     usable
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -25,6 +25,7 @@
 use mulberry_policy::heartbeat_interval::load_ttl_ms;
 use mulberry_policy::occupancy::LoadReport;
 use mulberry_policy::store_budget::CallClass;
+use mulberry_policy::watch_renewal::Known;
 use mulberry_policy::watch_renewal::StoreReport;
 use mulberry_protocol::auth::SecretKeyring;
 use mulberry_protocol::error::ProtocolError;
@@ -38,6 +39,7 @@
 use mulberry_protocol::peer::OwnerClaim;
 use mulberry_protocol::peer::PeerDatagram;
 use mulberry_protocol::peer::PeerHeartbeat;
+use mulberry_protocol::peer::PeerPlace;
 use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::peer::decode_peer_datagram;
 use mulberry_protocol::peer::encode_peer_datagram;
@@ -141,8 +143,8 @@
         return;
     }
     log_event!(info, Event::PeerFound, peer = %member.name, address = %member.address);
-    let peer =
-        Peer { member: member.clone(), found_at: shared.clock.now(), heard_at: None, owner: None };
+    let found_at = shared.clock.now();
+    let peer = Peer { member: member.clone(), zone: None, found_at, heard_at: None, owner: None };
     peers.insert(member.name, peer);
 }
 
@@ -201,7 +203,9 @@
     let name = &heartbeat.member.name;
     let (incarnation, recoveries, version) =
         (heartbeat.incarnation, heartbeat.store_recoveries, heartbeat.version);
-    shared.record_store_report(name, StoreReport { incarnation, recoveries, version });
+    let endpoints = datagram.place.as_ref().map_or(0, |p| p.endpoints_changed);
+    let known = Known { version, endpoints };
+    shared.record_store_report(name, StoreReport { incarnation, recoveries, known });
     let sender = SuspectSender { name: name.clone(), incarnation, sequence: heartbeat.sequence };
     let told = told_suspects(&heartbeat.suspects, &datagram.details, &datagram.parts);
     shared.merge_suspects(&sender, &told);
@@ -215,6 +219,7 @@
     shared.occupancy().record_report(name, report, now);
     if let Some(peer) = shared.peers().get_mut(name) {
         peer.heard_at = Some(now);
+        peer.zone = datagram.place.as_ref().map(|p| p.zone.clone());
         peer.owner = heartbeat.owner.clone();
     }
 }
@@ -234,7 +239,9 @@
     loop {
         tokio::time::sleep(Duration::from_millis(MIN_HEARTBEAT_INTERVAL_MS)).await;
         let (recoveries, version) = (store.recoveries(), shared.version());
-        shared.record_store_report(&member.name, StoreReport { incarnation, recoveries, version });
+        let endpoints_changed = shared.endpoints_changed();
+        let known = Known { version, endpoints: endpoints_changed };
+        shared.record_store_report(&member.name, StoreReport { incarnation, recoveries, known });
         let Some(secrets) = shared.secrets.load_full() else { continue };
         sequence += 1;
         let told = suspects_to_send(&shared);
@@ -252,7 +259,8 @@
         let parts = told.iter().filter(|t| t.is_part).map(|t| t.suspect.fingerprint).collect();
         let details = told.into_iter().filter_map(|t| t.detail).collect();
         let limits = shared.limits().limits_to_tell(shared.clock.now());
-        let mut datagram = PeerDatagram { heartbeat, details, parts, limits };
+        let place = PeerPlace { zone: shared.settings.zone.clone(), endpoints_changed };
+        let mut datagram = PeerDatagram { heartbeat, details, parts, limits, place: Some(place) };
         for (next_ms, addresses) in due_addresses_by_interval(&shared, &datagram.heartbeat) {
             datagram.heartbeat.next_ms = next_ms;
             match encode_peer_datagram(&datagram, &secrets) {
@@ -282,16 +290,20 @@
 ) -> IndexMap<u64, Vec<SocketAddr>> {
     let now = shared.clock.now();
     let peers = shared.peers();
+    let is_near = |p: &Peer| p.zone.as_ref() == Some(&shared.settings.zone);
+    let entries = || peers.values().filter(|p| p.member.role == PeerRole::Entry);
     let sender = HeartbeatSender {
         role: heartbeat.member.role,
         owns_jobs: heartbeat.owner.is_some(),
-        entries: peers.values().filter(|p| p.member.role == PeerRole::Entry).count(),
+        entries: entries().count(),
+        near_entries: entries().filter(|p| is_near(p)).count(),
     };
     let mut due: IndexMap<u64, Vec<SocketAddr>> = IndexMap::new();
     for (index, peer) in peers.values().enumerate() {
         let receiver = HeartbeatReceiver {
             role: peer.member.role,
             owns_jobs: peer.owner.is_some(),
+            is_near: is_near(peer),
             silent_ms: peer.heard_at.map(|at| now.since(at)),
         };
         let interval_ms = heartbeat_interval_ms(sender, receiver);
--- a/crates/mulberry-direct/src/settings.rs
+++ b/crates/mulberry-direct/src/settings.rs
@@ -29,6 +29,11 @@
     pub store: SocketAddr,
     /// Rate limits of this process's calls to the store.
     pub store_rates: StoreRates,
+    /// Longest time for which the store holds a watch call of endpoints that has no events, in
+    /// milliseconds.
+    pub endpoint_wait_ms: u64,
+    /// The same for the watch of the configuration.
+    pub configuration_wait_ms: u64,
     /// Time from the stop signal until the process is killed, in milliseconds.
     pub grace_ms: u64,
     /// Time for which results stay readable after submission, in milliseconds.
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -24,6 +24,7 @@
 use mulberry_policy::occupancy::Occupancy;
 use mulberry_policy::queue_limit::QueueLimits;
 use mulberry_policy::version_history::VersionHistory;
+use mulberry_policy::watch_renewal::Known;
 use mulberry_policy::watch_renewal::StoreReport;
 use mulberry_policy::watch_renewal::WatchRenewal;
 use mulberry_process::clock::SharedClock;
@@ -36,8 +37,10 @@
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
 use mulberry_protocol::name::EntryName;
+use mulberry_protocol::name::ZoneName;
 use mulberry_protocol::peer::Member;
 use mulberry_protocol::peer::OwnerClaim;
+use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::route::Configuration;
 use mulberry_protocol::time::Millis;
 
@@ -56,6 +59,8 @@
 pub struct Peer {
     /// Name, role and address of the peer.
     pub member: Member,
+    /// Availability zone of its VM, once it has told it.
+    pub zone: Option<ZoneName>,
     /// When this process learned of it.
     pub found_at: Millis,
     /// When its last heartbeat arrived; `None` before the first.
@@ -104,6 +109,9 @@
     /// Socket for datagrams to peers, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     version_history: Mutex<VersionHistory>,
+    /// Revision up to which all changes of endpoints are known, and that of the last change.
+    endpoints_known: AtomicU64,
+    endpoints_changed: AtomicU64,
     /// Since when changes of endpoints may have been missed; [`NOT_STALE`] if none may.
     endpoints_stale_since: AtomicU64,
 }
@@ -150,6 +158,8 @@
             limit_desk: LimitDesk::default(),
             datagrams: OnceLock::new(),
             version_history: Mutex::default(),
+            endpoints_known: AtomicU64::new(0),
+            endpoints_changed: AtomicU64::new(0),
             endpoints_stale_since: AtomicU64::new(NOT_STALE),
         })
     }
@@ -159,11 +169,31 @@
         lock(&self.peers)
     }
 
+    /// Returns the number of other entries that this process knows.
+    pub fn other_entries(&self) -> usize {
+        self.peers().values().filter(|p| p.member.role == PeerRole::Entry).count()
+    }
+
     /// Locks the record of services that run a single software version.
     pub fn version_history(&self) -> MutexGuard<'_, VersionHistory> {
         lock(&self.version_history)
     }
 
+    /// Records that all changes of endpoints up to a revision of the store are known.
+    pub(crate) fn record_endpoints_known(&self, revision: u64) {
+        self.endpoints_known.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Records the revision of a change of endpoints.
+    pub(crate) fn record_endpoints_changed(&self, revision: u64) {
+        self.endpoints_changed.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Returns the revision of the last change of endpoints that a watch brought, zero before it.
+    pub fn endpoints_changed(&self) -> u64 {
+        self.endpoints_changed.load(Ordering::Relaxed)
+    }
+
     /// Sets since when changes of endpoints may have been missed, if any may.
     pub fn set_endpoints_stale_since(&self, since: Option<Millis>) {
         if since.is_some() {
@@ -235,13 +265,15 @@
             return;
         }
         let now = self.clock.now();
-        let own_version = self.version();
+        let endpoints = self.endpoints_known.load(Ordering::Relaxed).max(self.endpoints_changed());
+        let own = Known { version: self.version(), endpoints };
         let mut watch_renewal = lock(&self.watch_renewal);
-        watch_renewal.record(reporter, report, own_version, now);
-        if watch_renewal.take_due_renewal(own_version, now) {
+        watch_renewal.record(reporter, report, own, now);
+        if watch_renewal.take_due_renewal(own, now) {
             self.metrics.count("direct.watches_renewed");
-            log_event!(info, Event::WatchesRenewed, teller = %reporter, version = report.version,
-                own_version, returns = report.recoveries);
+            log_event!(info, Event::WatchesRenewed, teller = %reporter,
+                version = report.known.version, own_version = own.version,
+                endpoints = report.known.endpoints, own_endpoints = own.endpoints, returns = report.recoveries);
             self.renewals.send_modify(|number| *number += 1);
         }
     }
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -38,13 +38,6 @@
     pub coalesce_ms: u64,
 }
 
-/// Pace of the watch of endpoints. Those that leave serve on for two seconds only.
-const ENDPOINT_PACE: WatchPace = WatchPace { wait_ms: 1_000, coalesce_ms: COALESCE_DELAY_MS };
-
-/// Pace of the watch of the configuration. Peers tell its version too, and a store that has been away
-/// shows in the watch of endpoints.
-const CONFIGURATION_PACE: WatchPace = WatchPace { wait_ms: 2_000, coalesce_ms: COALESCE_DELAY_MS };
-
 /// Pace of watches whose changes may come late now and then.
 pub const RELAXED_PACE: WatchPace = WatchPace { wait_ms: 10_000, coalesce_ms: COALESCE_DELAY_MS };
 
@@ -62,6 +55,8 @@
     Failed,
     /// A watch call ended without a change.
     Unchanged,
+    /// All changes up to this revision have been reported.
+    UpTo(u64),
     /// Watching was interrupted; what is known may be out of date.
     Paused,
 }
@@ -167,7 +162,10 @@
         Position::Wait(from) => watch_prefix(store, prefix, pace, from, on_change).await,
     };
     let error = match result {
-        Ok(next) => return Position::Wait(next),
+        Ok(next) => {
+            on_change(StoreChange::UpTo(next));
+            return Position::Wait(next);
+        }
         Err(e) => e,
     };
     match (&error, position) {
@@ -229,7 +227,12 @@
     let key = shared.dialect.configuration_key();
     let prefix = key.split_inclusive('/').next().unwrap_or(key);
     let renewals = shared.renewals.subscribe();
-    list_and_watch(&store, prefix, CONFIGURATION_PACE, gate, renewals, |change| match change {
+    // Peers tell the version too, and a store that has been away shows in the watch of endpoints.
+    let pace = WatchPace {
+        wait_ms: shared.settings.configuration_wait_ms,
+        coalesce_ms: COALESCE_DELAY_MS,
+    };
+    list_and_watch(&store, prefix, pace, gate, renewals, |change| match change {
         StoreChange::Listed(objects) => {
             objects.iter().filter(|o| o.key == key).for_each(|o| apply_configuration(&shared, o));
             on_list();
@@ -238,7 +241,10 @@
             let changed = events.iter().filter(|e| !e.deleted && e.object.key == key);
             changed.for_each(|e| apply_configuration(&shared, &e.object));
         }
-        StoreChange::Failed | StoreChange::Unchanged | StoreChange::Paused => {}
+        StoreChange::Failed
+        | StoreChange::Unchanged
+        | StoreChange::UpTo(_)
+        | StoreChange::Paused => {}
     })
     .await;
 }
@@ -292,7 +298,9 @@
     };
     let prefix = shared.dialect.endpoint_prefix();
     let renewals = shared.renewals.subscribe();
-    let watch = list_and_watch(&store, prefix, ENDPOINT_PACE, gate, renewals, |change| {
+    let pace =
+        WatchPace { wait_ms: shared.settings.endpoint_wait_ms, coalesce_ms: COALESCE_DELAY_MS };
+    let watch = list_and_watch(&store, prefix, pace, gate, renewals, |change| {
         let is_list = matches!(change, StoreChange::Listed(_));
         apply_endpoints(&shared, &mut registry.borrow_mut(), change);
         if is_list {
@@ -309,6 +317,7 @@
             *registry = EndpointRegistry::default();
             return;
         }
+        StoreChange::UpTo(revision) => return shared.record_endpoints_known(revision),
         StoreChange::Failed => {
             registry.record_store_failure(now);
             return shared.set_endpoints_stale_since(registry.stale_since(now));
@@ -324,6 +333,8 @@
         }
         StoreChange::Changed(events) => {
             registry.record_store_response(now);
+            let last = events.iter().map(|e| e.object.version).max();
+            shared.record_endpoints_changed(last.unwrap_or(0));
             let mut removed = Vec::new();
             for event in events {
                 let endpoint = (!event.deleted)
--- a/crates/mulberry-direct/src/stored_convictions.rs
+++ b/crates/mulberry-direct/src/stored_convictions.rs
@@ -38,7 +38,10 @@
                     }
                 }
             }
-            StoreChange::Failed | StoreChange::Unchanged | StoreChange::Paused => {}
+            StoreChange::Failed
+            | StoreChange::Unchanged
+            | StoreChange::UpTo(_)
+            | StoreChange::Paused => {}
         },
     )
     .await;
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -297,6 +297,7 @@
     }
 
     fn log_end(&self, outcome: &str) {
+        let first_ms = self.first_chunk_at.map(|at| at.since(self.open.watch.sent_at()));
         log_event!(
             info,
             Event::RequestRelayed,
@@ -309,6 +310,7 @@
             attempts = self.open.attempts,
             in_flight = self.open.choice.in_flight,
             view_age_ms = self.open.choice.view_age_ms,
+            first_ms = first_ms.unwrap_or(0),
             parts = self.events,
             framing = self.open.response.framing.as_str(),
             position = self.end.position().as_str(),
--- a/crates/mulberry-policy/src/heartbeat_interval.rs
+++ b/crates/mulberry-policy/src/heartbeat_interval.rs
@@ -13,7 +13,7 @@
 const MAX_HEARTBEAT_INTERVAL_MS: u64 = 1_000;
 
 /// Other entries up to which an entry sends its load to each of them at the shortest interval. With
-/// more of them, the interval grows in proportion.
+/// more of them, the interval grows in proportion. Entries of the own zone are counted by themselves.
 const FULL_RATE_ENTRIES: u64 = 24;
 
 /// Silence after which a peer only gets heartbeats at the longest interval, in milliseconds.
@@ -34,6 +34,8 @@
     pub owns_jobs: bool,
     /// Number of entries that it knows, itself excluded.
     pub entries: usize,
+    /// Number of those in its own zone.
+    pub near_entries: usize,
 }
 
 /// A peer that receives heartbeats, as their sender knows it.
@@ -43,6 +45,8 @@
     pub role: PeerRole,
     /// Whether it holds the lease on the batch jobs.
     pub owns_jobs: bool,
+    /// Whether it is in the sender's zone.
+    pub is_near: bool,
     /// Time since its last heartbeat, in milliseconds, or none if it never sent one.
     pub silent_ms: Option<u64>,
 }
@@ -59,7 +63,9 @@
     match (sender.role, receiver.role) {
         (PeerRole::Owner, PeerRole::Owner) => MIN_HEARTBEAT_INTERVAL_MS,
         (PeerRole::Entry, PeerRole::Entry) => {
-            let steps = (sender.entries as u64).div_ceil(FULL_RATE_ENTRIES);
+            // Entries of one zone prefer the same endpoints.
+            let sharing = if receiver.is_near { sender.near_entries } else { sender.entries };
+            let steps = (sharing as u64).div_ceil(FULL_RATE_ENTRIES);
             (MIN_HEARTBEAT_INTERVAL_MS * steps)
                 .clamp(MIN_HEARTBEAT_INTERVAL_MS, MAX_HEARTBEAT_INTERVAL_MS)
         }
--- a/crates/mulberry-policy/src/occupancy.rs
+++ b/crates/mulberry-policy/src/occupancy.rs
@@ -61,6 +61,10 @@
 pub struct Occupancy {
     own: IndexMap<u64, Load>,
     peers: IndexMap<EntryName, PeerLoads>,
+    /// Sums of the loads of all peers, kept as they change.
+    peer_sums: IndexMap<u64, Load>,
+    /// When the first of the peers' loads no longer counts.
+    next_stale_at: Option<Millis>,
 }
 
 impl Occupancy {
@@ -88,15 +92,22 @@
         if stale {
             return;
         }
-        let loads = report
+        let loads: IndexMap<u64, Load> = report
             .loads
             .iter()
             .map(|l| (l.endpoint, Load { online: l.online.into(), batch: l.batch.into() }))
             .collect();
+        for (endpoint, load) in &loads {
+            let sum = self.peer_sums.entry(*endpoint).or_default();
+            sum.online += load.online;
+            sum.batch += load.batch;
+        }
         let (incarnation, sequence) = (report.incarnation, report.sequence);
         let (heard_at, stale_at) = (now, now + report.ttl_ms);
         let loads = PeerLoads { heard_at, stale_at, incarnation, sequence, loads };
-        self.peers.insert(peer.clone(), loads);
+        let previous = self.peers.insert(peer.clone(), loads);
+        previous.iter().for_each(|p| subtract(&mut self.peer_sums, &p.loads));
+        self.next_stale_at = Some(self.next_stale_at.map_or(stale_at, |at| at.min(stale_at)));
     }
 
     /// Returns what this process has in flight at an endpoint.
@@ -105,14 +116,23 @@
     }
 
     /// Returns what all processes have in flight at an endpoint.
-    pub fn total_load(&self, endpoint: u64, now: Millis) -> Load {
-        let mut sum = self.own_load(endpoint);
-        for peer in self.peers.values().filter(|p| now < p.stale_at) {
-            let load = peer.loads.get(&endpoint).copied().unwrap_or_default();
-            sum.online += load.online;
-            sum.batch += load.batch;
+    pub fn total_load(&mut self, endpoint: u64, now: Millis) -> Load {
+        self.drop_stale(now);
+        let own = self.own_load(endpoint);
+        let peers = self.peer_sums.get(&endpoint).copied().unwrap_or_default();
+        Load { online: own.online + peers.online, batch: own.batch + peers.batch }
+    }
+
+    /// Forgets the loads that no longer count. What shows that a report is an old one stays.
+    fn drop_stale(&mut self, now: Millis) {
+        if self.next_stale_at.is_none_or(|at| now < at) {
+            return;
+        }
+        for peer in self.peers.values_mut().filter(|p| p.stale_at <= now) {
+            subtract(&mut self.peer_sums, &std::mem::take(&mut peer.loads));
         }
-        sum
+        let current = self.peers.values().map(|p| p.stale_at).filter(|at| *at > now);
+        self.next_stale_at = current.min();
     }
 
     /// Returns the age of the oldest report that still counts, in milliseconds, or zero if there is
@@ -142,3 +162,15 @@
         }
     }
 }
+
+/// Takes a peer's loads out of the sums.
+fn subtract(sums: &mut IndexMap<u64, Load>, loads: &IndexMap<u64, Load>) {
+    for (endpoint, load) in loads {
+        let Some(sum) = sums.get_mut(endpoint) else { continue };
+        sum.online = sum.online.saturating_sub(load.online);
+        sum.batch = sum.batch.saturating_sub(load.batch);
+        if sum.total() == 0 {
+            sums.swap_remove(endpoint);
+        }
+    }
+}
--- a/crates/mulberry-policy/src/routing.rs
+++ b/crates/mulberry-policy/src/routing.rs
@@ -1,6 +1,7 @@
 //! Chooses the endpoint of a request by prefix affinity, load and availability zone.
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use mulberry_protocol::closed_set;
 use mulberry_protocol::digest::stable_hash;
@@ -15,6 +16,8 @@
         TwoChoices,
         /// One of the least loaded endpoints.
         LeastLoaded,
+        /// The least loaded of a few random endpoints, drawn from the entry's zone and from the others.
+        Sampled,
         /// A random endpoint.
         Random,
     }
@@ -66,6 +69,21 @@
 /// Load from which an endpoint in another zone has no penalty, as a share of the limit.
 const FULL_LOAD: f64 = 1.0;
 
+/// Endpoints that are drawn in the entry's zone, and as many in the others.
+const SAMPLED_PER_SIDE: usize = 2;
+
+/// Most other entries with which each one sends to the least loaded endpoints. More of them would all
+/// send to the same ones until they hear of each other's requests.
+const MAX_ENTRIES_TO_LEAST_LOADED: usize = 8;
+
+/// Returns the mode for entries that tell each other their loads, by the number of the other ones.
+pub fn mode_for_shared_loads(other_entries: usize) -> RoutingMode {
+    match other_entries {
+        0..=MAX_ENTRIES_TO_LEAST_LOADED => RoutingMode::LeastLoaded,
+        _ => RoutingMode::Sampled,
+    }
+}
+
 /// Returns the index of the chosen candidate, or none if there is no candidate.
 ///
 /// Candidates marked `avoid` are chosen only when there is no other.
@@ -85,6 +103,10 @@
             .or_else(|| choose_from_two(candidates, &usable, rng)),
         (RoutingMode::Random, _) => Some(usable[rng.random_range(0..usable.len())]),
         (RoutingMode::LeastLoaded, _) => choose_least_loaded(candidates, &usable, rng),
+        (RoutingMode::Sampled, _) => {
+            let sampled = sample_each_side(candidates, &usable, rng);
+            choose_least_loaded(candidates, &sampled, rng)
+        }
         (RoutingMode::Affinity | RoutingMode::TwoChoices, _) => {
             choose_from_two(candidates, &usable, rng)
         }
@@ -119,6 +141,16 @@
     Some(if cost_of(second) < cost_of(first) { second } else { first })
 }
 
+/// Returns a few random endpoints of the entry's zone and of the others.
+fn sample_each_side(candidates: &[Candidate], usable: &[usize], rng: &mut impl Rng) -> Vec<usize> {
+    let (near, far): (Vec<usize>, Vec<usize>) =
+        usable.iter().copied().partition(|&i| candidates[i].near);
+    [near, far]
+        .iter()
+        .flat_map(|side| side.iter().copied().choose_multiple(rng, SAMPLED_PER_SIDE))
+        .collect()
+}
+
 /// Returns a random one of the endpoints with the lowest cost, so that entries with the same view
 /// of the load don't all choose the same one.
 fn choose_least_loaded(
--- a/crates/mulberry-policy/tests/batch_share.rs
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -1,5 +1,10 @@
 //! Batch items on endpoints that also serve online requests: which start and stop under which load.
 
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use mulberry_policy::batch_share::BegunBy;
 use mulberry_policy::batch_share::RESERVED_SLOTS;
 use mulberry_policy::batch_share::RunningItem;
@@ -10,6 +15,7 @@
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::LoadReport;
 use mulberry_policy::occupancy::Occupancy;
+use mulberry_protocol::name::EntryName;
 use mulberry_protocol::peer::EndpointLoad;
 use mulberry_protocol::time::Millis;
 
@@ -160,6 +166,36 @@
     }
 }
 
+/// Guards against sums that drift from what they sum up, as reports replace each other and expire.
+#[test]
+fn sums_of_loads_follow_the_reports() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut occupancy = Occupancy::default();
+    let mut reported: IndexMap<u64, (Millis, Vec<EndpointLoad>)> = IndexMap::new();
+    let mut now = NOW;
+    for sequence in 1..2_000 {
+        now = now + rng.random_range(0..200);
+        let peer = rng.random_range(0..8);
+        let load = |endpoint| EndpointLoad {
+            endpoint,
+            online: rng.random_range(0..4),
+            batch: rng.random_range(0..3),
+        };
+        let loads: Vec<EndpointLoad> = (0..6).map(load).collect();
+        let name = EntryName::new(format!("p{peer}"));
+        occupancy.record_report(&name, report(7, sequence, &loads), now);
+        reported.insert(peer, (now + LOAD_TTL_MS, loads));
+        for endpoint in 0..6 {
+            let counted = reported.values().filter(|(stale_at, _)| now < *stale_at);
+            let loads = counted.map(|(_, loads)| loads[endpoint as usize].clone());
+            let (online, batch) =
+                loads.fold((0, 0), |s, l| (s.0 + u32::from(l.online), s.1 + u32::from(l.batch)));
+            let sum = occupancy.total_load(endpoint, now);
+            assert_eq!((sum.online, sum.batch), (online, batch), "after report {sequence}");
+        }
+    }
+}
+
 #[test]
 fn loads_of_peers_count_until_they_expire() {
     let mut occupancy = Occupancy::default();
--- a/crates/mulberry-policy/tests/heartbeat_interval.rs
+++ b/crates/mulberry-policy/tests/heartbeat_interval.rs
@@ -16,15 +16,15 @@
 }
 
 const fn entry(entries: usize) -> HeartbeatSender {
-    HeartbeatSender { role: Entry, owns_jobs: false, entries }
+    HeartbeatSender { role: Entry, owns_jobs: false, entries, near_entries: entries / 5 }
 }
 
 const fn owner(owns_jobs: bool) -> HeartbeatSender {
-    HeartbeatSender { role: Owner, owns_jobs, entries: 359 }
+    HeartbeatSender { role: Owner, owns_jobs, entries: 359, near_entries: 30 }
 }
 
 const LIVE_ENTRY: HeartbeatReceiver =
-    HeartbeatReceiver { role: Entry, owns_jobs: false, silent_ms: Some(90) };
+    HeartbeatReceiver { role: Entry, owns_jobs: false, is_near: false, silent_ms: Some(90) };
 
 const CASES: &[Case] = &[
     Case { name: "a few entries", sender: entry(4), receiver: LIVE_ENTRY, interval_ms: 100 },
@@ -35,6 +35,18 @@
         interval_ms: 100,
     },
     Case { name: "a hundred entries", sender: entry(99), receiver: LIVE_ENTRY, interval_ms: 500 },
+    Case {
+        name: "a hundred entries, one of those in the sender's zone",
+        sender: entry(99),
+        receiver: HeartbeatReceiver { is_near: true, ..LIVE_ENTRY },
+        interval_ms: 100,
+    },
+    Case {
+        name: "360 entries in 12 zones, one of those in the sender's",
+        sender: HeartbeatSender { near_entries: 30, ..entry(359) },
+        receiver: HeartbeatReceiver { is_near: true, ..LIVE_ENTRY },
+        interval_ms: 200,
+    },
     Case {
         name: "360 entries, the fleet size expected in two years",
         sender: entry(359),
--- a/crates/mulberry-policy/tests/watch_renewal.rs
+++ b/crates/mulberry-policy/tests/watch_renewal.rs
@@ -1,5 +1,6 @@
 //! When pending watches are renewed.
 
+use mulberry_policy::watch_renewal::Known;
 use mulberry_policy::watch_renewal::MIN_RENEWAL_INTERVAL_MS;
 use mulberry_policy::watch_renewal::StoreReport;
 use mulberry_policy::watch_renewal::VERSION_LAG_MS;
@@ -16,7 +17,7 @@
     renewals: &'static [u64],
 }
 
-const OWN_VERSION: u64 = 7;
+const OWN: Known = Known { version: 7, endpoints: 50 };
 
 #[test]
 fn watches_are_renewed_after_a_recovery_or_a_newer_version() {
@@ -58,16 +59,55 @@
                     let (incarnation, recoveries, version) = (*incarnation, *recoveries, *version);
                     watch_renewal.record(
                         &peer,
-                        StoreReport { incarnation, recoveries, version },
-                        OWN_VERSION,
+                        StoreReport {
+                            incarnation,
+                            recoveries,
+                            known: Known { version, endpoints: 0 },
+                        },
+                        OWN,
                         now,
                     );
                 }
             }
-            if watch_renewal.take_due_renewal(OWN_VERSION, now) {
+            if watch_renewal.take_due_renewal(OWN, now) {
                 found.push(at);
             }
         }
         assert_eq!(found, case.renewals, "{}", case.name);
     }
 }
+
+/// Guards against an endpoint that is used after it has left, where this process's watch hangs in
+/// silence and a longer wait would hide it: a peer has seen the change.
+#[test]
+fn watches_are_renewed_after_a_change_of_endpoints_that_did_not_arrive() {
+    struct Change {
+        name: &'static str,
+        /// Revision of the last change that a peer has seen.
+        seen_by_peer: u64,
+        /// Revision up to which this process knows all changes, 300 ms later.
+        own_later: u64,
+        renews: bool,
+    }
+    let changes = [
+        Change { name: "known here too", seen_by_peer: 50, own_later: 50, renews: false },
+        Change { name: "older than what is known", seen_by_peer: 49, own_later: 50, renews: false },
+        Change { name: "on its way", seen_by_peer: 51, own_later: 51, renews: false },
+        Change { name: "it does not arrive", seen_by_peer: 51, own_later: 50, renews: true },
+        Change { name: "a later one is missing", seen_by_peer: 60, own_later: 55, renews: true },
+    ];
+    let peer = EntryName::new("p");
+    for change in changes {
+        let mut watch_renewal = WatchRenewal::default();
+        let known = Known { version: 7, endpoints: change.seen_by_peer };
+        let report = StoreReport { incarnation: 1, recoveries: 0, known };
+        let mut renewed = false;
+        for at in (0..=1_200).step_by(100) {
+            let endpoints = if at < 300 { OWN.endpoints } else { change.own_later };
+            let (own, now) = (Known { endpoints, ..OWN }, Millis(10_000 + at));
+            watch_renewal.record(&peer, report, own, now);
+            renewed |= watch_renewal.take_due_renewal(own, now);
+        }
+        assert_eq!(renewed, change.renews, "{}", change.name);
+    }
+}
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::heartbeat::Suspect;
 use crate::limit::SeenLimit;
 use crate::name::EntryName;
+use crate::name::ZoneName;
 use crate::value_type;
 
 closed_set! {
@@ -116,6 +117,16 @@
     }
 }
 
+value_type! {
+    /// Where the sender of a heartbeat runs, and what it has seen there of the store.
+    pub struct PeerPlace {
+        /// Availability zone of its VM.
+        pub zone: ZoneName,
+        /// Revision of the last change of endpoints that its watch brought; zero before the first.
+        pub endpoints_changed: u64,
+    }
+}
+
 /// A heartbeat and what stands behind it in the same datagram, which earlier builds don't read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PeerDatagram {
@@ -127,6 +138,8 @@
     pub parts: Vec<u64>,
     /// Limits of endpoints that have changed lately. Empty from earlier builds.
     pub limits: Vec<SeenLimit>,
+    /// Where the sender runs. `None` from earlier builds.
+    pub place: Option<PeerPlace>,
 }
 
 /// Encodes and signs a heartbeat as a datagram.
@@ -135,12 +148,15 @@
     secrets: &SecretKeyring,
 ) -> Result<Vec<u8>, ProtocolError> {
     let mut payload = postcard::to_stdvec(&datagram.heartbeat)?;
-    let PeerDatagram { details, parts, limits, .. } = datagram;
-    if !(details.is_empty() && parts.is_empty() && limits.is_empty()) {
+    let PeerDatagram { details, parts, limits, place, .. } = datagram;
+    if place.is_some() || !(details.is_empty() && parts.is_empty() && limits.is_empty()) {
         payload.extend(postcard::to_stdvec(details)?);
         payload.extend(postcard::to_stdvec(parts)?);
         payload.extend(postcard::to_stdvec(limits)?);
     }
+    if let Some(place) = place {
+        payload.extend(postcard::to_stdvec(&vec![place])?);
+    }
     Ok(secrets.sign_datagram(&payload))
 }
 
@@ -153,8 +169,9 @@
     let (heartbeat, rest) = postcard::take_from_bytes(payload)?;
     let (details, rest) = take_list(rest)?;
     let (parts, rest) = take_list(rest)?;
-    let (limits, _later) = take_list(rest)?;
-    Ok(PeerDatagram { heartbeat, details, parts, limits })
+    let (limits, rest) = take_list(rest)?;
+    let (mut places, _later): (Vec<PeerPlace>, _) = take_list(rest)?;
+    Ok(PeerDatagram { heartbeat, details, parts, limits, place: places.pop() })
 }
 
 /// Decodes a list and returns what stands behind it. Where an earlier build ends, the list is empty.
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -35,6 +35,7 @@
 use mulberry_protocol::peer::Member;
 use mulberry_protocol::peer::PeerDatagram;
 use mulberry_protocol::peer::PeerHeartbeat;
+use mulberry_protocol::peer::PeerPlace;
 use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::peer::SeenCrash;
 use mulberry_protocol::peer::SuspectDetail;
@@ -167,7 +168,7 @@
         suspects: vec![Suspect { fingerprint: 9, crashes: 4, recent: false, confirmed: true }],
     };
     let limits = vec![SeenLimit { endpoint: 3, per_s: Some(0.5), seen_ms_ago: 20 }];
-    PeerDatagram { heartbeat, details, parts: vec![9], limits }
+    PeerDatagram { heartbeat, details, parts: vec![9], limits, place: None }
 }
 
 /// Guards against builds that can't hear each other during an upgrade: earlier ones send and read a
@@ -191,6 +192,10 @@
         let read_before: PeerHeartbeat = postcard::from_bytes(payload).unwrap();
         assert_eq!(read_before, sent.heartbeat);
     }
+    let place = PeerPlace { zone: "a".into(), endpoints_changed: 40 };
+    let with_place = PeerDatagram { place: Some(place), ..peer_datagram(Vec::new()) };
+    let datagram = encode_peer_datagram(&with_place, &secrets).unwrap();
+    assert_eq!(decode_peer_datagram(&datagram, &secrets).unwrap(), with_place);
     let sent = peer_datagram(vec![detail]);
     let heartbeat = postcard::to_stdvec(&sent.heartbeat).unwrap();
     let details = postcard::to_stdvec(&sent.details).unwrap();
