Nothing of a job stays in the store after its retention time

Cause: the removal deleted part 0 whatever the number of parts, and what an owner left that died between two deletions had no object by which it could be found.

--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -29,6 +29,7 @@
 use crate::owner::Owner;
 use crate::owner::OwnerState;
 use crate::owner::copy::import_copies;
+use crate::owner::retention::Leftovers;
 
 /// Delay after a failed load, in milliseconds.
 const RETRY_DELAY_MS: u64 = 100;
@@ -53,7 +54,7 @@
         }
         let started = owner.now();
         match load_and_fence(&owner).await {
-            Ok(jobs) => {
+            Ok((jobs, leftovers)) => {
                 let mut state = owner.state.borrow_mut();
                 if state.generation != generation {
                     return;
@@ -62,6 +63,7 @@
                 let duration_ms = owner.now().since(started);
                 log_event!(info, Event::JobsLoaded, jobs = jobs.len(), open, span_ms = duration_ms);
                 state.jobs = jobs;
+                state.leftovers = leftovers;
                 import_copies(&mut state, owner.now());
                 state.serving = true;
                 drop(state);
@@ -89,12 +91,14 @@
     }
 }
 
-async fn load_and_fence(owner: &Owner) -> Result<IndexMap<JobId, JobLog>, PlatformError> {
-    let mut jobs = load_all(owner).await?;
+async fn load_and_fence(
+    owner: &Owner,
+) -> Result<(IndexMap<JobId, JobLog>, Leftovers), PlatformError> {
+    let (mut jobs, leftovers) = load_all(owner).await?;
     let open = jobs.iter_mut().filter(|(_, job)| !job.is_settled());
     let fencing = open.map(|(id, job)| fence_job(owner, id, job));
     futures_util::future::try_join_all(fencing).await?;
-    Ok(jobs)
+    Ok((jobs, leftovers))
 }
 
 /// Writes an empty segment, which makes the next conditional write of an earlier owner fail, so
@@ -116,11 +120,15 @@
     Ok(())
 }
 
-async fn load_all(owner: &Owner) -> Result<IndexMap<JobId, JobLog>, PlatformError> {
+async fn load_all(owner: &Owner) -> Result<(IndexMap<JobId, JobLog>, Leftovers), PlatformError> {
     let list = |prefix| owner.store.list_all(CallClass::Commit, prefix, true);
     let (stored, _) = list("jobs/").await?;
     let (parts, _) = list("job-parts/").await?;
     let (segments, _) = list("results/").await?;
+    // Jobs that can't be read are jobs all the same.
+    let ids = stored.iter().map(|object| JobId::new(job_id_in_key(object))).collect();
+    let keys = parts.iter().chain(&segments).map(|object| object.key.clone()).collect();
+    let leftovers = Leftovers::find(&ids, keys, owner.now());
     let parts = group_by_job(&parts);
     let segments = group_by_job(&segments);
     let mut jobs = IndexMap::new();
@@ -137,7 +145,7 @@
             Err(e) => log_event!(error, Event::JobUnreadable, job = id, error = %e),
         }
     }
-    Ok(jobs)
+    Ok((jobs, leftovers))
 }
 
 /// Loads and fences one job that is not in the state. Returns false if the store has no such job.
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -43,6 +43,7 @@
 use mulberry_protocol::time::Millis;
 
 use crate::connection::ConnectionPool;
+use crate::owner::retention::Leftovers;
 use crate::shared::SharedState;
 
 pub use process::run_owner;
@@ -75,6 +76,8 @@
     /// Incremented when the lease is lost, so that tasks started before don't change the state.
     pub(crate) generation: u64,
     pub(crate) jobs: IndexMap<JobId, JobLog>,
+    /// Objects without a job, as they were found when the jobs were loaded.
+    pub(crate) leftovers: Leftovers,
     pub(crate) pending_submissions: IndexMap<JobId, PendingSubmission>,
     pub(crate) runs: IndexMap<ItemKey, ActiveRun>,
     /// Load key of the endpoint on which each item ran last.
@@ -189,6 +192,7 @@
                 serving: false,
                 generation: 0,
                 jobs: IndexMap::new(),
+                leftovers: Leftovers::default(),
                 pending_submissions: IndexMap::new(),
                 runs: IndexMap::new(),
                 last_endpoints: IndexMap::new(),
