--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -135,6 +135,8 @@
     is_closing: Rc<Cell<bool>>,
     _task: AbortOnDrop,
     reused: bool,
+    /// Whether a response has arrived.
+    is_answered: bool,
 }
 
 impl Connection {
@@ -154,7 +156,7 @@
             let _ended = connection.await;
             guard.end();
         });
-        Ok(Self { sender, is_closing, _task: AbortOnDrop(task), reused: false })
+        Ok(Self { sender, is_closing, _task: AbortOnDrop(task), reused: false, is_answered: false })
     }
 
     /// Records that the other end closes the connection after its response.
@@ -162,7 +164,12 @@
         self.is_closing.set(true);
     }
 
-    /// Returns whether the connection has completed an exchange before.
+    /// Records the response of an exchange. Returns whether the connection has carried another one.
+    pub fn record_response(&mut self) -> bool {
+        std::mem::replace(&mut self.is_answered, true)
+    }
+
+    /// Returns whether the connection comes from the pool.
     pub fn is_reused(&self) -> bool {
         self.reused
     }
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -20,6 +20,8 @@
 use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
 
+use mulberry_policy::response_match::RepeatedId;
+use mulberry_policy::response_match::ResponseMatch;
 use mulberry_policy::stream_end::BodyFraming;
 use mulberry_policy::stream_end::StreamPosition;
 
@@ -44,10 +46,15 @@
         detail: String,
     },
     /// The endpoint responded that it did not run the request.
-    #[error("the endpoint answered {status} without running the request")]
+    #[error(
+        "the endpoint answered {status} without running the request \
+         (request ID: {}, kept connection: {})", matched.id.as_str(), matched.is_kept
+    )]
     NotRun {
         /// HTTP status of the response.
         status: StatusCode,
+        /// What says that the response belongs to the request.
+        matched: ResponseMatch,
         /// What it said of itself.
         notice: EndpointNotice,
     },
@@ -187,7 +194,7 @@
 ) -> Result<EndpointResponse, ExchangeError> {
     let EndpointRequest { address, req, request_id, min_held_ms } = request;
     let mut stale = 0;
-    let (connection, response, held_ms) = loop {
+    let (mut connection, response, held_ms) = loop {
         let mut connection = pool.take(address).await.map_err(|e| not_sent(&e))?;
         let held_ms = pool.held_ms(address).unwrap_or(0);
         if min_held_ms.is_some_and(|min| held_ms < min) {
@@ -209,8 +216,13 @@
     let (head, body) = response.into_parts();
     let status = head.status;
     let mut headers = head.headers;
-    let is_mismatched = headers.get(&names.request_id).is_some_and(|id| *id != request_id);
-    if is_mismatched {
+    let id = match headers.get(&names.request_id) {
+        Some(id) if *id == request_id => RepeatedId::Same,
+        Some(_) => RepeatedId::Other,
+        None => RepeatedId::Missing,
+    };
+    let matched = ResponseMatch { id, is_kept: connection.record_response() };
+    if id == RepeatedId::Other {
         pool.clear(address);
         return Err(ExchangeError::invalid("the response has the ID of another request"));
     }
@@ -239,9 +251,9 @@
     if not_run {
         // The body is read only so that the connection can be reused.
         let _rest = response.read_all(MAX_REFUSAL_BYTES).await;
-        return Err(ExchangeError::NotRun { status, notice });
+        return Err(ExchangeError::NotRun { status, matched, notice });
     }
-    if !response.headers.contains_key(&names.request_id) && status.is_success() {
+    if id == RepeatedId::Missing && status.is_success() {
         return Err(ExchangeError::invalid("the response has no request ID"));
     }
     Ok(response)
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -366,14 +366,14 @@
                 self.record_failure(endpoint, "not-sent");
                 Refusal::not_run(RefusalReason::LinkFailed, detail).into()
             }
-            ExchangeError::NotRun { status, notice } => {
+            ExchangeError::NotRun { status, matched, notice } => {
+                let detail = ExchangeError::NotRun { status, matched, notice }.to_string();
                 self.shared.record_notice(endpoint, notice);
                 let reason = match status {
                     StatusCode::MISDIRECTED_REQUEST => RefusalReason::NotReady,
                     _ => RefusalReason::Busy,
                 };
                 let retry_ms = retry_after_ms(rand::rng().random());
-                let detail = format!("the endpoint answered {status} without running the request");
                 Refusal::not_run(reason, detail).retry_after(retry_ms).into()
             }
             ExchangeError::Broken { cause, detail } => {
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peak;
 pub mod progress_copies;
 pub mod queue_limit;
+pub mod response_match;
 pub mod retry;
 pub mod routing;
 pub mod run_outcome;
