A response is believed only if it is certain to belong to its request

Cause: a refusal without a request ID was taken for that of whatever request had been sent last. Now a response without an ID counts only as the first one of its connection, which is not kept then; any other one proves nothing, and its connection is closed. A request that failed on a connection is sent again on another one only, so that a copy with its ID is not taken for a response. Idle connections that have not been polled yet are left in the pool instead of being dropped when another one is taken.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -18,6 +18,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use socket2::SockRef;
@@ -28,6 +29,7 @@
 use tokio::time::timeout;
 
 use mulberry_policy::crash_suspects::CrashEvidence;
+use mulberry_policy::response_match::MAX_FAILED_REQUESTS;
 use mulberry_protocol::closed_set;
 
 use crate::holds::HoldGuard;
@@ -137,6 +139,9 @@
     reused: bool,
     /// Whether a response has arrived.
     is_answered: bool,
+    /// IDs of the requests that have failed here. A copy of such a response would be taken for that to
+    /// the same request, sent again.
+    failed: Vec<HeaderValue>,
 }
 
 impl Connection {
@@ -156,7 +161,14 @@
             let _ended = connection.await;
             guard.end();
         });
-        Ok(Self { sender, is_closing, _task: AbortOnDrop(task), reused: false, is_answered: false })
+        Ok(Self {
+            sender,
+            is_closing,
+            _task: AbortOnDrop(task),
+            reused: false,
+            is_answered: false,
+            failed: Vec::new(),
+        })
     }
 
     /// Records that the other end closes the connection after its response.
@@ -169,6 +181,11 @@
         std::mem::replace(&mut self.is_answered, true)
     }
 
+    /// Records that a request has failed here, by its ID.
+    pub fn record_failed(&mut self, request_id: &HeaderValue) {
+        self.failed.push(request_id.clone());
+    }
+
     /// Returns whether the connection comes from the pool.
     pub fn is_reused(&self) -> bool {
         self.reused
@@ -265,7 +282,25 @@
 impl ConnectionPool {
     /// Takes an idle connection to an address, or opens a new one.
     pub async fn take(&self, address: SocketAddr) -> Result<Connection, SendError> {
-        match self.take_idle(address) {
+        self.take_or_open(address, None).await
+    }
+
+    /// Takes an idle connection to an address on which the request has not failed before, or opens a new
+    /// one.
+    pub async fn take_for(
+        &self,
+        address: SocketAddr,
+        request_id: &HeaderValue,
+    ) -> Result<Connection, SendError> {
+        self.take_or_open(address, Some(request_id)).await
+    }
+
+    async fn take_or_open(
+        &self,
+        address: SocketAddr,
+        request_id: Option<&HeaderValue>,
+    ) -> Result<Connection, SendError> {
+        match self.take_idle(address, request_id) {
             Some(connection) => Ok(connection),
             None => Connection::open(address, self.holds.clone()).await,
         }
@@ -289,6 +324,9 @@
     /// Returns a connection whose exchange is complete to the pool. `keep_alive` is the time for
     /// which the peer keeps it open, if it states one.
     pub fn put(&self, address: SocketAddr, connection: Connection, keep_alive: Option<Duration>) {
+        if connection.failed.len() >= MAX_FAILED_REQUESTS {
+            return;
+        }
         let now = Instant::now();
         let idle_timeout = keep_alive.map_or(IDLE_TIMEOUT, |k| k.min(IDLE_TIMEOUT));
         let mut idle = self.idle.borrow_mut();
@@ -320,17 +358,22 @@
         self.idle.borrow_mut().swap_remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        request_id: Option<&HeaderValue>,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
-        while let Some(last) = list.pop() {
-            if last.expires_at > now && last.connection.sender.is_ready() {
-                let mut connection = last.connection;
-                connection.reused = true;
-                return Some(connection);
-            }
-        }
-        None
+        list.retain(|i| i.expires_at > now && !i.connection.sender.is_closed());
+        let is_usable = |c: &Connection| {
+            let has_failed = request_id.is_some_and(|id| c.failed.contains(id));
+            c.sender.is_ready() && !has_failed
+        };
+        let last = list.iter().rposition(|i| is_usable(&i.connection))?;
+        let mut connection = list.remove(last).connection;
+        connection.reused = true;
+        Some(connection)
     }
 }
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -195,7 +195,8 @@
     let EndpointRequest { address, req, request_id, min_held_ms } = request;
     let mut stale = 0;
     let (mut connection, response, held_ms) = loop {
-        let mut connection = pool.take(address).await.map_err(|e| not_sent(&e))?;
+        let taken = pool.take_for(address, &request_id).await;
+        let mut connection = taken.map_err(|e| not_sent(&e))?;
         let held_ms = pool.held_ms(address).unwrap_or(0);
         if min_held_ms.is_some_and(|min| held_ms < min) {
             let detail = "the endpoint has ended the connections that were held to it".to_owned();
@@ -222,13 +223,22 @@
         None => RepeatedId::Missing,
     };
     let matched = ResponseMatch { id, is_kept: connection.record_response() };
-    if id == RepeatedId::Other {
+    if !matched.is_certain() {
         pool.clear(address);
-        return Err(ExchangeError::invalid("the response has the ID of another request"));
+        let detail = match id {
+            RepeatedId::Other => "the response has the ID of another request",
+            RepeatedId::Same | RepeatedId::Missing => "a response without an ID may be a copy",
+        };
+        return Err(ExchangeError::invalid(detail));
     }
     let not_run = headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST;
     let notice = read_notice(names, status, not_run, &headers);
-    let reusable = !has_connection_close(&headers) && head.version == hyper::Version::HTTP_11;
+    let reusable = !has_connection_close(&headers)
+        && head.version == hyper::Version::HTTP_11
+        && matched.is_copy_recognized();
+    if !status.is_success() {
+        connection.record_failed(&request_id);
+    }
     let keep_alive = parse_keep_alive(&headers);
     let framing = body_framing(&headers);
     if !reusable || framing == BodyFraming::Connection {
