A connection that this process closes is not held from then on

It counted as held until the task that drives it had ended. Now the closing is recorded at once, and only once.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -120,13 +120,18 @@
     },
 }
 
-/// Aborts the task that drives a connection when dropped, which closes the socket.
+/// Aborts the task that drives a connection when dropped, which closes the socket. From then on the
+/// connection is not held any more, though its task ends a little later.
 #[derive(Debug)]
-struct AbortOnDrop(JoinHandle<()>);
+struct CloseOnDrop {
+    task: JoinHandle<()>,
+    guard: Rc<HoldGuard>,
+}
 
-impl Drop for AbortOnDrop {
+impl Drop for CloseOnDrop {
     fn drop(&mut self) {
-        self.0.abort();
+        self.guard.close();
+        self.task.abort();
     }
 }
 
@@ -134,8 +139,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    is_closing: Rc<Cell<bool>>,
-    _task: AbortOnDrop,
+    driver: CloseOnDrop,
     reused: bool,
     /// Whether a response has arrived.
     is_answered: bool,
@@ -155,25 +159,19 @@
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|source| SendError::Broken { source })?;
         let guard = HoldGuard::new(log, address);
-        let is_closing = guard.closing_flag();
+        let for_task = guard.clone();
         let task = actix_rt::spawn(async move {
             // A failure also reaches the pending exchange, which reports it.
             let _ended = connection.await;
-            guard.end();
+            for_task.end();
         });
-        Ok(Self {
-            sender,
-            is_closing,
-            _task: AbortOnDrop(task),
-            reused: false,
-            is_answered: false,
-            failed: Vec::new(),
-        })
+        let driver = CloseOnDrop { task, guard };
+        Ok(Self { sender, driver, reused: false, is_answered: false, failed: Vec::new() })
     }
 
     /// Records that the other end closes the connection after its response.
     pub fn expect_close(&self) {
-        self.is_closing.set(true);
+        self.driver.guard.expect_close();
     }
 
     /// Records the response of an exchange. Returns whether the connection has carried another one.
--- a/crates/mulberry-direct/src/holds.rs
+++ b/crates/mulberry-direct/src/holds.rs
@@ -34,43 +34,53 @@
     }
 }
 
-/// Tells the log of a thread when one of its connections ends.
+/// Tells the log of a thread when one of its connections ends, once.
 #[derive(Debug)]
 pub(crate) struct HoldGuard {
     log: Rc<RefCell<HoldLog>>,
     address: SocketAddr,
     opened: Millis,
     /// Whether the other end said that it closes the connection.
-    is_closing: Rc<Cell<bool>>,
-    was_ended: bool,
+    is_closing: Cell<bool>,
+    is_over: Cell<bool>,
 }
 
 impl HoldGuard {
     /// Records a connection that was just opened.
-    pub(crate) fn new(log: Rc<RefCell<HoldLog>>, address: SocketAddr) -> Self {
+    pub(crate) fn new(log: Rc<RefCell<HoldLog>>, address: SocketAddr) -> Rc<Self> {
         let opened = log.borrow().now();
         log.borrow_mut().continuity.record_opened(address, opened);
-        Self { log, address, opened, is_closing: Rc::default(), was_ended: false }
+        Rc::new(Self {
+            log,
+            address,
+            opened,
+            is_closing: Cell::default(),
+            is_over: Cell::default(),
+        })
     }
 
-    /// Returns the flag to set when the other end says that it closes the connection.
-    pub(crate) fn closing_flag(&self) -> Rc<Cell<bool>> {
-        self.is_closing.clone()
+    /// Records that the other end closes the connection after its response.
+    pub(crate) fn expect_close(&self) {
+        self.is_closing.set(true);
     }
 
     /// Records that the other end closed the connection, or that it broke.
-    pub(crate) fn end(mut self) {
-        self.was_ended = true;
-    }
-}
-
-impl Drop for HoldGuard {
-    fn drop(&mut self) {
+    pub(crate) fn end(&self) {
+        if self.is_over.replace(true) {
+            return;
+        }
         let mut log = self.log.borrow_mut();
         let now = log.now();
-        match self.was_ended && !self.is_closing.get() {
-            true => log.continuity.record_ended(self.address, self.opened, now),
-            false => log.continuity.record_closed(self.address, self.opened),
+        match self.is_closing.get() {
+            true => log.continuity.record_closed(self.address, self.opened),
+            false => log.continuity.record_ended(self.address, self.opened, now),
+        }
+    }
+
+    /// Records that this process closes the connection.
+    pub(crate) fn close(&self) {
+        if !self.is_over.replace(true) {
+            self.log.borrow_mut().continuity.record_closed(self.address, self.opened);
         }
     }
 }
