A stream goes on with its own events only, and does not end as complete while one is owed

Cause: whatever succeeded was taken for the next part: any status from 200 to 299, any type, any block; and an answer without events ended the stream though a part of the next event had come. Now a continuation is an event stream of status 200. Its blocks are events with numbers behind the last one, directly behind it if the numbers have followed each other so far; text that is no field ends the run in any case. A stream of which a part of the next event has come is whole only after that event. What a caller takes up begins behind its Last-Event-Id. An item needs an event from each run, from the first one on; without one it begins anew. An attempt that certainly did not run is not counted when a stream goes on. Left: an empty answer of an event stream to a stream that broke off between two events; numbers that are missing where a caller takes its stream up.

--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -161,6 +161,11 @@
         Ok(whole.freeze())
     }
 
+    /// Closes the connection, so that the endpoint stops.
+    pub fn abandon(&mut self) {
+        self.connection = None;
+    }
+
     fn return_connection(&mut self) {
         if let Some(connection) = self.connection.take().filter(|_| self.reusable) {
             self.pool.put(self.address, connection, self.keep_alive);
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -154,6 +154,7 @@
         due: started + timeout_ms,
         is_retry,
         resumes: text_header(req, &shared.dialect.headers().resumes),
+        last_event: parse_number_header(req, &shared.dialect.headers().last_event_id),
         is_continued: req.headers().contains_key(shared.dialect.headers().last_event_id.as_str()),
     };
     let left = Duration::from_millis(caller.due.since(shared.clock.now()));
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -17,12 +17,15 @@
 use hyper::header::HeaderValue;
 
 use mulberry_policy::endpoint_continuity::certain_in_ms;
+use mulberry_policy::event_sequence::BlockForm;
+use mulberry_policy::event_sequence::is_continuation;
 use mulberry_policy::job_log::ItemState;
 use mulberry_policy::job_log::Progress;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::run_outcome::RunOutcome;
 use mulberry_policy::stream_end::StreamEnd;
 use mulberry_policy::stream_end::StreamEnding;
+use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
 use mulberry_protocol::batch_job::JobItem;
 use mulberry_protocol::batch_job::MAX_SEGMENT_BYTES;
@@ -134,7 +137,16 @@
     item.map_or(0, |i| i.progress.events)
 }
 
+fn discard_progress(owner: &Owner, spec: &RunSpec) {
+    let mut state = owner.state.borrow_mut();
+    let log = state.jobs.get_mut(&spec.key.0);
+    if let Some(item) = log.and_then(|log| log.item_mut(spec.key.1)) {
+        item.progress.discard();
+    }
+}
+
 async fn stream_output(owner: &Owner, spec: &RunSpec) -> Result<RunOutcome, ExchangeError> {
+    let events_before = count_events(owner, spec);
     let mut request = item_request(owner, spec)?;
     if spec.last_event.is_some() {
         let certain = make_certain(&owner.shared, &owner.pool, &spec.endpoint).await;
@@ -149,7 +161,7 @@
     let mut response = with_read_timeout(sending).await?;
     owner.shared.record_notice(&spec.endpoint, response.notice);
     match response.status.as_u16() {
-        200..=299 => {}
+        status if is_continuation(status, response.is_event_stream()) => {}
         422 => return Ok(RunOutcome::Impossible),
         500 => return Ok(RunOutcome::Failed),
         status => {
@@ -189,7 +201,14 @@
         framing: response.framing,
         position: end.position(),
         is_continued: spec.last_event.is_some(),
+        is_event_owed: false,
     };
+    let has_ended = end.position() != StreamPosition::WithinEvent;
+    if has_ended && count_events(owner, spec) == events_before {
+        // Whether nothing is left behind the last event, nobody knows: the item begins anew.
+        discard_progress(owner, spec);
+        return Err(ExchangeError::invalid("the response has no event that is new"));
+    }
     match owner.shared.judge_ending(ending, &spec.endpoint).await {
         StreamVerdict::Whole => Ok(RunOutcome::Completed),
         StreamVerdict::BrokenOff => Err(ExchangeError::broken_off(end.position())),
@@ -234,10 +253,15 @@
     progress: &mut Progress,
     event: &crate::sse::SseEvent,
 ) -> Result<(), ExchangeError> {
-    let Some(number) = event.number else {
-        return Err(ExchangeError::invalid("an event has no numeric ID"));
+    let number = match (event.form, event.number) {
+        (BlockForm::Comment, _) => return Ok(()),
+        (BlockForm::Malformed, _) => return Err(ExchangeError::invalid("a block is no event")),
+        (BlockForm::Event, None) => {
+            return Err(ExchangeError::invalid("an event has no numeric ID"));
+        }
+        (BlockForm::Event, Some(number)) => number,
     };
-    if progress.last_event.is_some_and(|last| number > last + 1) {
+    if number > progress.last_event.unwrap_or(0) + 1 {
         return Err(ExchangeError::invalid(format!("events before {number} are missing")));
     }
     progress.push(number, &event.data);
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -16,6 +16,7 @@
 use rand::Rng;
 
 use mulberry_policy::crash_suspects::RequestKeys;
+use mulberry_policy::event_sequence::is_continuation;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::retry::FailedAttempt;
@@ -89,6 +90,8 @@
     pub resumes: Option<Arc<str>>,
     /// Whether the caller has events of an earlier run, behind which this one is to continue.
     pub is_continued: bool,
+    /// Number of the last of those events, if the caller states one.
+    pub last_event: Option<u64>,
 }
 
 impl CallerRequest {
@@ -328,10 +331,18 @@
         mut watch: RunWatch,
     ) -> Result<RelayResponse, ExchangeError> {
         let names = self.shared.dialect.headers();
+        let continues =
+            req.route.resumable && request.req.headers().contains_key(&names.last_event_id);
         let exchanged = exchange(&self.pool, names, request).await;
         let mut response = watch_failure(&mut watch, exchanged).await?;
         self.shared.record_notice(&choice.endpoint, response.notice);
         if req.route.kind == RouteKind::Stream && response.status.is_success() {
+            let status = response.status;
+            if continues && !is_continuation(status.as_u16(), response.is_event_stream()) {
+                let detail =
+                    format!("a response of status {status} that does not continue the stream");
+                return watch_failure(&mut watch, Err(ExchangeError::invalid(detail))).await;
+            }
             let choice = choice.clone();
             let open =
                 OpenStream { watch, response, choice, load, attempts: attempt, origin: None };
@@ -343,6 +354,7 @@
             framing: response.framing,
             position: StreamPosition::BetweenEvents,
             is_continued: false,
+            is_event_owed: false,
         };
         if self.shared.judge_ending(ending, &choice.endpoint).await == StreamVerdict::BrokenOff {
             let broken = Err(ExchangeError::broken_off(ending.position));
--- a/crates/mulberry-direct/src/sse.rs
+++ b/crates/mulberry-direct/src/sse.rs
@@ -4,9 +4,13 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use mulberry_policy::event_sequence::BlockForm;
+
 /// One complete event of a stream.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SseEvent {
+    /// What its lines are.
+    pub form: BlockForm,
     /// The `id` field as a number, if there is one.
     pub number: Option<u64>,
     /// The `data` lines, joined by line feeds.
@@ -66,6 +70,12 @@
     let text = String::from_utf8_lossy(&raw);
     let mut number = None;
     let mut data: Option<String> = None;
+    let mut lines = text.lines().filter(|line| !line.is_empty());
+    let form = match lines.clone().all(is_field) {
+        true if lines.all(is_comment) => BlockForm::Comment,
+        true => BlockForm::Event,
+        false => BlockForm::Malformed,
+    };
     for line in text.lines() {
         if let Some(value) = field_value(line, "id") {
             number = value.trim().parse().ok();
@@ -80,9 +90,21 @@
         }
     }
     drop(text);
-    SseEvent { number, data: data.unwrap_or_default(), raw }
+    SseEvent { form, number, data: data.unwrap_or_default(), raw }
+}
+
+fn is_comment(line: &str) -> bool {
+    line.starts_with(':')
 }
 
+/// Returns whether a line can be a field or a comment. Any name may stand before a colon.
+fn is_field(line: &str) -> bool {
+    line.contains(':') || FIELDS_WITHOUT_VALUE.contains(&line)
+}
+
+/// Fields that may stand without a colon, with an empty value.
+const FIELDS_WITHOUT_VALUE: [&str; 4] = ["data", "event", "id", "retry"];
+
 fn field_value<'a>(line: &'a str, name: &str) -> Option<&'a str> {
     let value = line.strip_prefix(name)?.strip_prefix(':')?;
     Some(value.strip_prefix(' ').unwrap_or(value))
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -10,6 +10,8 @@
 use futures_util::future::join;
 use futures_util::stream::unfold;
 
+use mulberry_policy::event_sequence::BlockVerdict;
+use mulberry_policy::event_sequence::EventSequence;
 use mulberry_policy::stream_end::StreamEnd;
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamPosition;
@@ -17,6 +19,7 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::stream_origin::stream_key;
 use mulberry_protocol::time::Millis;
@@ -43,7 +46,11 @@
     parser: SseParser,
     /// Where the bytes of the present run end.
     end: StreamEnd,
-    last_event: Option<u64>,
+    sequence: EventSequence,
+    /// Whether an event is known to be missing: a part of it has come, or one after it.
+    is_event_owed: bool,
+    /// What is wrong with the last block that was read, if it is no part of the stream.
+    violation: Option<BlockVerdict>,
     tried: Vec<EndpointName>,
     events: u64,
     /// When the first chunk arrived.
@@ -67,12 +74,14 @@
     guard: RequestGuard,
 ) -> impl Stream<Item = Result<Bytes, io::Error>> {
     let state = StreamRelay {
+        sequence: EventSequence::new(req.is_continued, req.last_event),
+        is_event_owed: false,
+        violation: None,
         relay,
         req,
         open,
         parser: SseParser::default(),
         end: StreamEnd::default(),
-        last_event: None,
         tried: Vec::new(),
         events: 0,
         first_chunk_at: None,
@@ -109,6 +118,15 @@
                 // A body that always has more to read never makes the read time out.
                 return NextChunk::Abort("time-out");
             }
+            if let Some(verdict) = self.violation.take() {
+                self.open.response.abandon();
+                let detail = format!("a block of the stream is {}", verdict.as_str());
+                self.record_break(Some(ExchangeError::invalid(detail))).await;
+                if !self.resume().await {
+                    return NextChunk::Abort("broken");
+                }
+                continue;
+            }
             let reading = self.open.response.next_chunk();
             let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
             let read = read.map(|read| self.check_chunk(read));
@@ -166,24 +184,32 @@
         let ending = StreamEnding {
             framing: response.framing,
             position,
-            is_continued: self.last_event.is_some() || self.req.is_continued,
+            is_continued: self.sequence.last().is_some() || self.req.is_continued,
+            is_event_owed: self.is_event_owed,
         };
         let verdict = self.relay.shared.judge_ending(ending, &self.open.choice.endpoint);
         verdict.await == StreamVerdict::Whole
     }
 
-    /// Parses a chunk and returns the complete events in it that the caller has not received yet.
+    /// Parses a chunk and returns the complete events in it that the caller has not received yet, up to a
+    /// block that is no part of the stream.
     fn new_events(&mut self, chunk: &Bytes) -> Option<Bytes> {
         let mut new = Vec::new();
         for event in self.parser.push(chunk) {
-            if event.number.is_some() && event.number <= self.last_event {
-                continue;
+            match self.sequence.judge(event.form, event.number) {
+                BlockVerdict::New => {}
+                BlockVerdict::Repeated => continue,
+                verdict @ (BlockVerdict::Foreign | BlockVerdict::Gap) => {
+                    self.is_event_owed |= verdict == BlockVerdict::Gap;
+                    self.violation = Some(verdict);
+                    break;
+                }
             }
             if self.events == 0 && self.open.origin.is_none() {
                 let held_ms = self.open.response.held_ms;
                 self.relay.shared.begin_stream(self.key(), &self.open.choice.endpoint, held_ms);
             }
-            self.last_event = event.number.or(self.last_event);
+            self.is_event_owed &= event.number.is_none();
             self.events += 1;
             new.extend_from_slice(&event.raw);
         }
@@ -198,6 +224,7 @@
             self.tried.push(self.open.choice.endpoint.name.clone());
             self.parser = SseParser::default();
             self.end = StreamEnd::default();
+            self.sequence.begin_run();
             if !self.relay.shared.may_retry_after_break(self.req.keys()) {
                 return false;
             }
@@ -210,7 +237,7 @@
                 return false;
             }
             let attempt = self.open.attempts + 1;
-            let (relay, after) = (&self.relay, self.last_event);
+            let (relay, after) = (&self.relay, self.sequence.last());
             let tried = relay.try_endpoint(&self.req, &choice, attempt, origin, after).await;
             self.relay.shared.metrics.count("direct.streams_resumed");
             match tried {
@@ -221,7 +248,9 @@
                 Ok(RelayResponse::Full(..)) => return false,
                 Err(failure) => {
                     self.log_break(&choice, failure.cause, &failure.refusal.detail);
-                    self.open.attempts = attempt;
+                    if failure.refusal.run != RunState::NotRun {
+                        self.open.attempts = attempt;
+                    }
                     self.open.choice = choice;
                 }
             }
@@ -255,7 +284,14 @@
 
     /// Records that the endpoint broke the stream off, with the error or, without one, by ending it.
     async fn record_break(&mut self, error: Option<ExchangeError>) {
-        let error = error.unwrap_or_else(|| ExchangeError::broken_off(self.end.position()));
+        let position = self.end.position();
+        let error = error.unwrap_or_else(|| match position {
+            StreamPosition::Start | StreamPosition::BetweenEvents if self.is_event_owed => {
+                ExchangeError::invalid("the stream ended before an event that is owed")
+            }
+            _ => ExchangeError::broken_off(position),
+        });
+        self.is_event_owed |= self.is_resumable() && position == StreamPosition::WithinEvent;
         if error.is_crash() {
             self.open.watch.record_crash().await;
         }
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod endpoint_continuity;
 pub mod endpoint_limits;
 pub mod endpoint_registry;
+pub mod event_sequence;
 pub mod fault_injection;
 pub mod heartbeat_interval;
 pub mod job_log;
--- a/crates/mulberry-policy/src/stream_end.rs
+++ b/crates/mulberry-policy/src/stream_end.rs
@@ -132,6 +132,8 @@
     pub position: StreamPosition,
     /// Whether it was to continue behind events of an earlier run, after which nothing may be left.
     pub is_continued: bool,
+    /// Whether an event is known to be missing: a part of it came with an earlier run.
+    pub is_event_owed: bool,
 }
 
 impl StreamEnding {
@@ -140,6 +142,7 @@
     /// leaves.
     pub fn judge(self, has_sender_ended: bool) -> StreamVerdict {
         match (self.position, self.framing) {
+            _ if self.is_event_owed => StreamVerdict::BrokenOff,
             (StreamPosition::WithinEvent, _) => StreamVerdict::BrokenOff,
             (StreamPosition::Start, BodyFraming::Connection) if !self.is_continued => {
                 StreamVerdict::BrokenOff
--- a/crates/mulberry-policy/tests/stream_end.rs
+++ b/crates/mulberry-policy/tests/stream_end.rs
@@ -110,13 +110,24 @@
 fn stream_is_whole_unless_its_end_says_otherwise() {
     for case in END_CASES {
         let EndCase { framing, position, is_continued, .. } = *case;
-        let ending = StreamEnding { framing, position, is_continued };
+        let ending = StreamEnding { framing, position, is_continued, is_event_owed: false };
         assert_eq!([false, true].map(|ended| ending.judge(ended)), case.verdicts, "{}", case.name);
         let [goes_on, ended] = case.verdicts;
         assert_eq!(ending.needs_probe(), goes_on != ended, "{}", case.name);
     }
 }
 
+/// Guards against ORDER of issue 37: a stream ended as complete though a part of its next event had come.
+#[test]
+fn stream_is_not_whole_while_an_event_is_owed() {
+    for case in END_CASES {
+        let EndCase { framing, position, is_continued, .. } = *case;
+        let ending = StreamEnding { framing, position, is_continued, is_event_owed: true };
+        let verdicts = [false, true].map(|ended| ending.judge(ended));
+        assert_eq!(verdicts, [StreamVerdict::BrokenOff; 2], "{}", case.name);
+    }
+}
+
 /// Guards against bytes without end (issue 23) that are no event.
 #[test]
 fn event_that_does_not_end_is_overlong() {
