--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -96,11 +96,33 @@
 ) -> Result<(IndexMap<JobId, JobLog>, Leftovers), PlatformError> {
     let (mut jobs, leftovers) = load_all(owner).await?;
     let open = jobs.iter_mut().filter(|(_, job)| !job.is_settled());
-    let fencing = open.map(|(id, job)| fence_job(owner, id, job));
-    futures_util::future::try_join_all(fencing).await?;
+    let fencing = open.map(|(id, job)| async move {
+        let fenced = fence_job(owner, id, job).await;
+        Ok(pass_over_unreadable(id, fenced)?.is_none().then(|| id.clone()))
+    });
+    let unreadable = futures_util::future::try_join_all(fencing).await?;
+    for id in unreadable.into_iter().flatten() {
+        jobs.shift_remove(&id);
+    }
     Ok((jobs, leftovers))
 }
 
+/// Passes a result on, or none if the job's objects can't be read: it is left out then, and the others
+/// are served. Fails if the store did.
+fn pass_over_unreadable<T>(
+    id: &JobId,
+    result: Result<T, PlatformError>,
+) -> Result<Option<T>, PlatformError> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(e @ PlatformError::BadAnswer { .. }) => {
+            log_event!(error, Event::JobUnreadable, job = id.as_str(), error = %e);
+            Ok(None)
+        }
+        Err(e) => Err(e),
+    }
+}
+
 /// Writes an empty segment, which makes the next conditional write of an earlier owner fail, so
 /// that it can add no further results. Segments that it has written in the meantime are applied
 /// first.
@@ -135,14 +157,13 @@
     for object in &stored {
         let id = job_id_in_key(object);
         let job_parts = parts.get(id).cloned().unwrap_or_default();
-        match parse_job_log(owner, object, &job_parts) {
-            Ok(mut job) => {
-                for segment in segments.get(id).into_iter().flatten() {
-                    apply_stored_segment(&mut job, segment)?;
-                }
-                jobs.insert(JobId::new(id), job);
-            }
-            Err(e) => log_event!(error, Event::JobUnreadable, job = id, error = %e),
+        let segments = segments.get(id).into_iter().flatten();
+        let id = JobId::new(id);
+        let job = parse_job_log(owner, object, &job_parts).and_then(|mut job| {
+            segments.copied().try_for_each(|s| apply_stored_segment(&mut job, s)).map(|()| job)
+        });
+        if let Some(job) = pass_over_unreadable(&id, job)? {
+            jobs.insert(id, job);
         }
     }
     Ok((jobs, leftovers))
