An odd object does not spoil the list or the changes that it is among

Here odd specifications did no harm (they are kept as text and read one by one), but 11 of 15 kinds did: metadata with a revision that is deep, too large, negative or missing, a name of another type, no object, bytes that are no UTF-8. Each list failed, and each watch, for good. Now the objects of a list and the changes of a watch are read one by one. One that can't be read counts as one without a value, so that it names no endpoint, and event 505 says so.

--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -134,6 +134,8 @@
     WatchesRenewed = 503, "watches renewed";
     /// A list or watch of the object API failed or was not answered in time.
     WatchFailed = 504, "list or watch failed";
+    /// An object among others in the store can't be read.
+    ObjectUnreadable = 505, "object can't be read";
     /// An engine crashed or broke its streams.
     EngineCrashed = 600, "engine crashed";
     /// A request is confirmed to crash endpoints and will be refused.
