The store's return shows at once where it was silent: calls of the watch of endpoints overlap

Cause: a call without an answer (up to 1.5 s), the pause after it (0.7 s) and the grace period after the next one (2.2 s) follow one another. Now a call that waits for no change and is not answered is made again each 300 ms, the earlier ones left pending, six at the most; such calls do not wait for the pause. The end of a grace period is checked when it is due, not within 200 ms.

--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use indexmap::IndexSet;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use mulberry_platform::error::PlatformError;
 use mulberry_platform::object_api::Object;
+use mulberry_platform::object_api::WatchBatch;
 use mulberry_platform::object_api::WatchEvent;
 use mulberry_platform::store::Store;
 use mulberry_policy::endpoint_registry::EndpointRegistry;
@@ -25,6 +28,12 @@
 /// Delay after a failed call, in milliseconds, in addition to the backoff of the store budget.
 const RETRY_DELAY_MS: u64 = 150;
 
+/// Interval at which calls that are not answered overlap.
+const OVERLAP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Most calls that overlap.
+const MAX_OVERLAPPING_CALLS: usize = 6;
+
 /// Delay between a change and the next watch call, in milliseconds, so that changes in quick
 /// succession arrive with one call.
 const COALESCE_DELAY_MS: u64 = 400;
@@ -36,12 +45,15 @@
     pub wait_ms: u64,
     /// Delay between a change and the next call.
     pub coalesce_ms: u64,
+    /// Whether calls overlap while the store does not answer, so that its return shows at once.
+    pub overlaps: bool,
 }
 
 /// Pace of watches whose changes may come late now and then.
-pub const RELAXED_PACE: WatchPace = WatchPace { wait_ms: 10_000, coalesce_ms: COALESCE_DELAY_MS };
+pub const RELAXED_PACE: WatchPace =
+    WatchPace { wait_ms: 10_000, coalesce_ms: COALESCE_DELAY_MS, overlaps: false };
 
-/// Interval at which missing endpoints are checked for the end of their grace period, in
+/// Longest interval at which missing endpoints are checked for the end of their grace period, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 200;
 
@@ -144,6 +156,35 @@
     }
 }
 
+/// Makes a read call, or read calls that overlap, until one is answered or all have failed. Each failure but the
+/// last one is reported to `on_failure`. While the store is away, a single call would hide for long that
+/// it is back: what was sent before is never answered.
+async fn first_answer<T, C: Future<Output = Result<T, PlatformError>>>(
+    store: &Store,
+    overlaps: bool,
+    call: impl Fn() -> C,
+    mut on_failure: impl FnMut(&PlatformError),
+) -> Result<T, PlatformError> {
+    let mut calls = FuturesUnordered::new();
+    let mut last_made = Instant::now();
+    calls.push(call());
+    loop {
+        tokio::select! {
+            Some(result) = calls.next() => match result {
+                Err(e @ PlatformError::NoAnswer { .. }) if !calls.is_empty() => on_failure(&e),
+                result => return result,
+            },
+            () = tokio::time::sleep_until(last_made + OVERLAP_INTERVAL), if overlaps => {
+                last_made = Instant::now();
+                if calls.len() < MAX_OVERLAPPING_CALLS {
+                    store.end_delay();
+                    calls.push(call());
+                }
+            }
+        }
+    }
+}
+
 /// Makes one list or watch call. Returns where to go on.
 async fn poll_once(
     store: &Store,
@@ -153,13 +194,32 @@
     on_change: &mut impl FnMut(StoreChange),
 ) -> Position {
     let started = Instant::now();
+    let report = |error: &PlatformError| {
+        log_event!(info, Event::WatchFailed, prefix, revision = position.revision(),
+            waited_ms = started.elapsed().as_millis() as u64, error = %error);
+    };
+    let on_failure = |error: &PlatformError| {
+        report(error);
+        on_change(StoreChange::Failed);
+    };
     let result = match position {
-        Position::Start => list_prefix(store, prefix, on_change).await,
+        Position::Start => {
+            let list = || store.list_all(CallClass::Lease, prefix, true);
+            let listed = first_answer(store, pace.overlaps, list, on_failure).await;
+            listed.map(|(objects, revision)| {
+                on_change(StoreChange::Listed(objects));
+                revision
+            })
+        }
         Position::CatchUp(from) => {
-            let at_once = WatchPace { wait_ms: 0, ..pace };
-            watch_prefix(store, prefix, at_once, from, on_change).await
+            let watch = || store.watch(prefix, from, 0);
+            let batch = first_answer(store, pace.overlaps, watch, on_failure).await;
+            take_batch(batch, pace, from, on_change).await
+        }
+        Position::Wait(from) => {
+            let batch = store.watch(prefix, from, pace.wait_ms).await;
+            take_batch(batch, pace, from, on_change).await
         }
-        Position::Wait(from) => watch_prefix(store, prefix, pace, from, on_change).await,
     };
     let error = match result {
         Ok(next) => {
@@ -174,8 +234,7 @@
             tokio::time::sleep(Duration::from_millis(*retry_ms)).await;
         }
         _ => {
-            log_event!(info, Event::WatchFailed, prefix, revision = position.revision(),
-                waited_ms = started.elapsed().as_millis() as u64, error = %error);
+            report(&error);
             on_change(StoreChange::Failed);
         }
     }
@@ -189,24 +248,14 @@
     next
 }
 
-async fn list_prefix(
-    store: &Store,
-    prefix: &str,
-    on_change: &mut impl FnMut(StoreChange),
-) -> Result<u64, PlatformError> {
-    let (objects, revision) = store.list_all(CallClass::Lease, prefix, true).await?;
-    on_change(StoreChange::Listed(objects));
-    Ok(revision)
-}
-
-async fn watch_prefix(
-    store: &Store,
-    prefix: &str,
+/// Reports the changes that a watch has brought, and lets further ones gather.
+async fn take_batch(
+    batch: Result<WatchBatch, PlatformError>,
     pace: WatchPace,
     from: u64,
     on_change: &mut impl FnMut(StoreChange),
 ) -> Result<u64, PlatformError> {
-    let batch = store.watch(prefix, from, pace.wait_ms).await?;
+    let batch = batch?;
     if batch.events.is_empty() {
         on_change(StoreChange::Unchanged);
     } else {
@@ -231,6 +280,7 @@
     let pace = WatchPace {
         wait_ms: shared.settings.configuration_wait_ms,
         coalesce_ms: COALESCE_DELAY_MS,
+        overlaps: false,
     };
     list_and_watch(&store, prefix, pace, gate, renewals, |change| match change {
         StoreChange::Listed(objects) => {
@@ -283,7 +333,10 @@
     let registry = std::cell::RefCell::new(EndpointRegistry::default());
     let expire = async {
         loop {
-            tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
+            let next_expiry = registry.borrow().next_expiry();
+            let left_ms = next_expiry.map(|at| at.since(shared.clock.now()).max(1));
+            let pause_ms = left_ms.map_or(EXPIRY_INTERVAL_MS, |ms| ms.min(EXPIRY_INTERVAL_MS));
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let now = shared.clock.now();
             let was_stale = shared.endpoints_stale_ms() > 0;
             shared.set_endpoints_stale_since(registry.borrow().stale_since(now));
@@ -298,8 +351,11 @@
     };
     let prefix = shared.dialect.endpoint_prefix();
     let renewals = shared.renewals.subscribe();
-    let pace =
-        WatchPace { wait_ms: shared.settings.endpoint_wait_ms, coalesce_ms: COALESCE_DELAY_MS };
+    let pace = WatchPace {
+        wait_ms: shared.settings.endpoint_wait_ms,
+        coalesce_ms: COALESCE_DELAY_MS,
+        overlaps: true,
+    };
     let watch = list_and_watch(&store, prefix, pace, gate, renewals, |change| {
         let is_list = matches!(change, StoreChange::Listed(_));
         apply_endpoints(&shared, &mut registry.borrow_mut(), change);
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -217,6 +217,13 @@
         Self { api, budget }
     }
 
+    /// Lets the next call go at once though an earlier one has failed, for a caller that paces its calls
+    /// itself.
+    pub fn end_delay(&self) {
+        let now = self.budget.clock.now();
+        self.budget.lock().end_delay(now);
+    }
+
     /// Returns how often the store responded again after failed calls of this process.
     pub fn recoveries(&self) -> u64 {
         self.budget.recoveries.load(Ordering::Relaxed)
--- a/crates/mulberry-policy/src/store_budget.rs
+++ b/crates/mulberry-policy/src/store_budget.rs
@@ -145,6 +145,11 @@
         self.blocked_until = now + self.backoff.next_delay_ms(rng);
     }
 
+    /// Lets a call go at once though an earlier one has failed, for a caller that paces its calls itself.
+    pub fn end_delay(&mut self, now: Millis) {
+        self.blocked_until = self.blocked_until.min(now);
+    }
+
     /// Returns whether the last call failed.
     pub fn is_failing(&self) -> bool {
         self.backoff.failures() > 0
