A stream that goes on asks eight endpoints at the most that turn it away

Now as many as a request that begins. The test stream_that_is_refused_everywhere_asks_few_endpoints failed before.

--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -12,6 +12,7 @@
 
 use mulberry_policy::event_sequence::BlockVerdict;
 use mulberry_policy::event_sequence::EventSequence;
+use mulberry_policy::retry::MAX_NOT_RUN_ATTEMPTS;
 use mulberry_policy::stream_end::StreamEnd;
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamPosition;
@@ -220,7 +221,11 @@
     /// false if no endpoint takes it over.
     async fn resume(&mut self) -> bool {
         let origin = self.origin();
-        while self.is_resumable() && self.open.attempts < self.req.route.attempts {
+        let mut not_run = 0;
+        while self.is_resumable()
+            && self.open.attempts < self.req.route.attempts
+            && not_run < MAX_NOT_RUN_ATTEMPTS
+        {
             self.tried.push(self.open.choice.endpoint.name.clone());
             self.parser = SseParser::default();
             self.end = StreamEnd::default();
@@ -248,8 +253,9 @@
                 Ok(RelayResponse::Full(..)) => return false,
                 Err(failure) => {
                     self.log_break(&choice, failure.cause, &failure.refusal.detail);
-                    if failure.refusal.run != RunState::NotRun {
-                        self.open.attempts = attempt;
+                    match failure.refusal.run {
+                        RunState::NotRun => not_run += 1,
+                        RunState::Unknown | RunState::Ran => self.open.attempts = attempt,
                     }
                     self.open.choice = choice;
                 }
