--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,33 +1,32 @@
-//! LOST: a stream that a stopping entry has passed on to a server is cut off by the entry's end.
+//! REFUSED: a batch job that was answered 503 at every client attempt runs.
 #[path = "../common/harness.rs"]
 mod harness;
 
 use harness::*;
-use std::thread;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
-/// Clients, each with a connection of its own that it has used before.
-const CLIENTS: u64 = 19;
+const JOB: &str = "7c41e09b52d6a3f8";
 
-/// They send one after the other, from the SIGTERM on: the last one 3.8 s after it.
-const SENT_EVERY_MS: u64 = 200;
+/// How much later the write without an answer is carried out. The pages: 1 to 6 s.
+const LATE_MS: u64 = 1_000;
 
-/// For requests sent later than this after the SIGTERM, the rule has no excuse for a server that is
-/// still at work at the end of the grace period.
-const EXCUSED_MS: u64 = 3_000;
+/// For how long the store turns one of three machines away. The site file: 9 s for a third of them.
+const TURNED_AWAY_MS: u64 = 5_000;
 
-/// 24 events, one each 170 ms: within the pauses of the sheet (400 ms), its deadline (5 s), and the
-/// time until the process would be killed (8 s).
-const PACE: Pace = Pace { events: 24, gap_ms: 170 };
+/// Time that the client has, as on the sheet.
+const DEADLINE_MS: u64 = 4_000;
 
-fn headers(id: &str) -> Vec<(&'static str, String)> {
-    vec![
-        ("Host", STREAM_HOST.to_owned()),
-        ("Request-Id", id.to_owned()),
-        ("Model", "m".to_owned()),
-        ("Token-Counts", "450,192".to_owned()),
-        ("Prompt-Prefix", format!("5c1e07a2:200,{id}:250")),
-        ("Deadline-Ms", "5000".to_owned()),
-    ]
+/// What the store does to the machine that holds the job.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Calm,
+    /// The next write of the job's object loses its answer.
+    Armed,
+    /// The answer is lost; the machine has not asked for the object yet.
+    Lost,
+    /// The machine is turned away, until this time of the record.
+    TurnedAway(u64),
 }
 
 fn main() {
@@ -35,90 +34,101 @@
     let store = Store::start();
     let servers = Servers::new(&store, &record);
     for (n, zone) in ["a", "b", "c"].iter().enumerate() {
-        servers.start(&format!("i-7f3a91c{n}"), "lm", zone, PACE);
+        servers.start(&format!("i-7f3a91c{n}"), "lm", zone, Pace { events: 20, gap_ms: 20 });
     }
-    store.put("config", "main", configuration(7, &[stream_route("lohu930", 1)]));
-    let deployment = Deployment::new(&store, 2, 1);
+    store.put("config", "main", configuration(7, &[batch_route()]));
+    let deployment = Deployment::new(&store, 2, 3);
     deployment.start();
     deployment.wait_until_ready();
-    let front = deployment.fronts[0].clone();
-    // The servers' entries have come.
-    sleep_ms(1_500);
+    warm_up(&deployment, &record);
 
-    // Each client makes a request on its connection and keeps the connection, as the pages have it.
-    let mut connections = Vec::new();
-    let warm: Vec<_> = (0..CLIENTS)
-        .map(|n| {
-            let front = front.clone();
-            thread::spawn(move || {
-                let mut connection = ClientConnection::open(front.front).unwrap_or_else(|e| quit(&e.to_string()));
-                let id = format!("aa41d07be2a35f{n:02x}");
-                let answer = connection.send("POST /lohu930/2f", &headers(&id), b"0123456789", 6_000);
-                (connection, answer)
-            })
-        })
-        .collect();
-    for client in warm {
-        let (connection, answer) = client.join().unwrap_or_else(|_| quit("a client ended"));
-        if !matches!(&answer, Answer::Whole(m) if m.status() == 200) {
-            quit(&format!("a request before the disruption was not served: {}", answer.describe()));
+    let stage = Arc::new(Mutex::new((Stage::Calm, String::new())));
+    let last_renewal = Arc::new(AtomicU64::new(0));
+    let (judged, renewed, judge_record) = (stage.clone(), last_renewal.clone(), record.clone());
+    store.set_judge(move |call| {
+        let now = judge_record.now_ms();
+        let is_store = call.machine.starts_with("store");
+        let mut judged = judged.lock().unwrap();
+        match judged.0 {
+            Stage::Armed if is_store && call.method == "POST" && call.name == JOB => {
+                *judged = (Stage::Lost, call.machine.to_owned());
+                judge_record.line(&format!("store: the answer to {}'s POST of {JOB} is lost; it is carried out {LATE_MS} ms later", call.machine));
+                return Fate::LoseLate(LATE_MS);
+            }
+            Stage::Lost if call.machine == judged.1 && call.method == "GET" && call.name == JOB => {
+                judged.0 = Stage::TurnedAway(now + TURNED_AWAY_MS);
+                judge_record.line(&format!("store: {}'s GET of {JOB} is answered; from now on it is turned away with 429", call.machine));
+                return Fate::Serve;
+            }
+            Stage::TurnedAway(until) if call.machine == judged.1 && now < until => {
+                if call.method != "GET" {
+                    judge_record.line(&format!("store: {} {} {}: 429 to {}", call.method, call.kind, call.name, call.machine));
+                }
+                return Fate::Reject(429);
+            }
+            _ => {}
         }
-        connections.push(connection);
-    }
-    record.line(&format!("{} streams were served whole; their connections stay open", connections.len()));
+        if is_store && call.method == "PUT" {
+            renewed.store(now, Ordering::SeqCst);
+        }
+        Fate::Serve
+    });
 
-    let stopped_at = record.now_ms();
-    if has_trouble() {
-        record.line(&format!("{}: SIGTERM", front.name));
-        front.signal(SIGTERM);
+    // Shortly after a conditional write of the owner, so that the play is the same each time.
+    let began = record.now_ms();
+    while last_renewal.load(Ordering::SeqCst) == 0 {
+        if record.now_ms() > began + 5_000 {
+            quit("no machine writes to the store under a condition");
+        }
+        sleep_ms(5);
     }
-    let clients: Vec<_> = connections
-        .into_iter()
-        .enumerate()
-        .map(|(n, mut connection)| {
-            let record = record.clone();
-            let at = SENT_EVERY_MS * (n as u64 + 1);
-            thread::spawn(move || {
-                sleep_ms((stopped_at + at).saturating_sub(record.now_ms()));
-                let id = format!("9c41d07be2a35f{n:02x}");
-                let sent = record.now_ms() - stopped_at;
-                let answer = connection.send("POST /lohu930/2f", &headers(&id), b"0123456789", 6_000);
-                record.line(&format!(
-                    "client: {id}, sent {sent} ms after the signal, ended {} ms after it: {}",
-                    record.now_ms() - stopped_at,
-                    answer.describe()
-                ));
-                (id, sent, answer)
-            })
-        })
-        .collect();
-    // The platform kills the process at the end of the grace period.
     if has_trouble() {
-        let has_ended = front.wait_for_end(8_000);
-        let after = record.now_ms() - stopped_at;
-        record.line(&format!("{}: ended {after} ms after the signal, by itself: {has_ended}", front.name));
+        stage.lock().unwrap().0 = Stage::Armed;
     }
-    let mut lost = Vec::new();
-    let mut served = 0;
-    for client in clients {
-        let (id, sent, answer) = client.join().unwrap_or_else(|_| quit("a client ended"));
-        served += usize::from(matches!(&answer, Answer::Whole(m) if m.status() == 200));
-        // Passed on to a server, and the connection ended without a complete answer, though no server
-        // broke off and the deadline was not reached.
-        let is_cut = !matches!(answer, Answer::Whole(_)) && !servers.runs_of(&id).is_empty();
-        if is_cut && sent > EXCUSED_MS {
-            lost.push(id);
+
+    // A client as the pages have it: one retry, at another node, after the time in Retry-After, or a
+    // third of the time that it has left.
+    let items: Vec<String> = (0..4).map(|i| format!("e5b2907c14da6f{i:02x}")).collect();
+    let first_sent = record.now_ms();
+    let mut answers = Vec::new();
+    for attempt in 0..2 {
+        let left = DEADLINE_MS.saturating_sub(record.now_ms() - first_sent);
+        let front = &deployment.fronts[attempt];
+        record.line(&format!("client: POST of {JOB} to {}, Deadline-Ms {left}", front.name));
+        let answer = submit(front, JOB, &items, left);
+        record.line(&format!("client: answered {}", answer.describe()));
+        let wait_s = match &answer {
+            Answer::Whole(m) => m.header("retry-after").and_then(|v| v.parse::<f64>().ok()),
+            _ => None,
+        };
+        answers.push(answer.status());
+        if answer.status() == 202 {
+            break;
         }
+        let left = DEADLINE_MS.saturating_sub(record.now_ms() - first_sent);
+        sleep_ms(((wait_s.unwrap_or(0.1) * 1_000.0) as u64).min(left / 3));
     }
-    record.line(&format!("{served} of {CLIENTS} requests were served whole"));
-    sleep_ms(300);
-    for id in &lost {
-        for run in servers.runs_of(id) {
-            record.line(&format!("{id}: began at server {} at {} ms, ended {:?}", run.server, run.began_ms, run.ended));
+    if answers.iter().any(|s| *s == 202) {
+        let until = record.now_ms() + 20_000;
+        while record.now_ms() < until {
+            let page = Json::parse(&read_job(&deployment.fronts[0], JOB, 0, 500).body());
+            if page.is_some_and(|p| p.get("results").list().len() == items.len()) {
+                break;
+            }
+            sleep_ms(500);
         }
+        record.line("client: the job was accepted, and its results were read");
+    } else {
+        sleep_ms(15_000);
+    }
+    let ran: Vec<&String> = items.iter().filter(|id| !servers.runs_of(id).is_empty()).collect();
+    record.line(&format!("the client's attempts were answered {answers:?}; {} of {} items ran", ran.len(), items.len()));
+    let is_refused = answers.iter().all(|s| [429, 503, 408, 421].contains(s));
+    if !has_trouble() && !answers.contains(&202) {
+        quit("without the disruption, the job is not accepted");
     }
     drop(deployment);
-    finish(&record, (!lost.is_empty()).then(|| {
-        format!("LOST: {} requests that were passed on to a sound server ended without a complete answer", lost.len())
+    finish(&record, (is_refused && !ran.is_empty()).then(|| {
+        format!("REFUSED: {} items ran of a batch job that was answered {answers:?}, 503 or 429 at every client attempt", ran.len())
     }));
 }
