--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,65 +1,124 @@
-//! LOST: an accepted batch job is never answered after its route has been removed.
+//! LOST: a stream that a stopping entry has passed on to a server is cut off by the entry's end.
 #[path = "../common/harness.rs"]
 mod harness;
 
 use harness::*;
+use std::thread;
 
-const JOB: &str = "7c41e09b52d6a3f8";
+/// Clients, each with a connection of its own that it has used before.
+const CLIENTS: u64 = 19;
+
+/// They send one after the other, from the SIGTERM on: the last one 3.8 s after it.
+const SENT_EVERY_MS: u64 = 200;
+
+/// For requests sent later than this after the SIGTERM, the rule has no excuse for a server that is
+/// still at work at the end of the grace period.
+const EXCUSED_MS: u64 = 3_000;
+
+/// 24 events, one each 170 ms: within the pauses of the sheet (400 ms), its deadline (5 s), and the
+/// time until the process would be killed (8 s).
+const PACE: Pace = Pace { events: 24, gap_ms: 170 };
+
+fn headers(id: &str) -> Vec<(&'static str, String)> {
+    vec![
+        ("Host", STREAM_HOST.to_owned()),
+        ("Request-Id", id.to_owned()),
+        ("Model", "m".to_owned()),
+        ("Token-Counts", "450,192".to_owned()),
+        ("Prompt-Prefix", format!("5c1e07a2:200,{id}:250")),
+        ("Deadline-Ms", "5000".to_owned()),
+    ]
+}
 
 fn main() {
     let record = Record::create("review/4/record.txt");
     let store = Store::start();
     let servers = Servers::new(&store, &record);
     for (n, zone) in ["a", "b", "c"].iter().enumerate() {
-        // An item takes 3 s.
-        servers.start(&format!("i-7f3a91c{n}"), "lm", zone, Pace { events: 20, gap_ms: 150 });
+        servers.start(&format!("i-7f3a91c{n}"), "lm", zone, PACE);
     }
-    let streams = stream_route("lohu930", 1);
-    store.put("config", "main", configuration(7, &[streams.clone(), batch_route()]));
-    let deployment = Deployment::new(&store, 2, 3);
+    store.put("config", "main", configuration(7, &[stream_route("lohu930", 1)]));
+    let deployment = Deployment::new(&store, 2, 1);
     deployment.start();
     deployment.wait_until_ready();
-    warm_up(&deployment, &record);
+    let front = deployment.fronts[0].clone();
+    // The servers' entries have come.
+    sleep_ms(1_500);
 
-    // 200 items, the most of a job; 24 places: they can't all be run at once.
-    let items: Vec<String> = (0..200).map(|i| format!("e5b2907c14da{i:04x}")).collect();
-    let answer = submit(&deployment.fronts[0], JOB, &items, 4_000);
-    record.line(&format!("client: POST of {JOB} with {} items: {}", items.len(), answer.describe()));
-    if answer.status() != 202 {
-        quit("the job is not accepted");
+    // Each client makes a request on its connection and keeps the connection, as the pages have it.
+    let mut connections = Vec::new();
+    let warm: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let front = front.clone();
+            thread::spawn(move || {
+                let mut connection = ClientConnection::open(front.front).unwrap_or_else(|e| quit(&e.to_string()));
+                let id = format!("aa41d07be2a35f{n:02x}");
+                let answer = connection.send("POST /lohu930/2f", &headers(&id), b"0123456789", 6_000);
+                (connection, answer)
+            })
+        })
+        .collect();
+    for client in warm {
+        let (connection, answer) = client.join().unwrap_or_else(|_| quit("a client ended"));
+        if !matches!(&answer, Answer::Whole(m) if m.status() == 200) {
+            quit(&format!("a request before the disruption was not served: {}", answer.describe()));
+        }
+        connections.push(connection);
     }
-    let listed = |after: usize| {
-        let page = Json::parse(&read_job(&deployment.fronts[1], JOB, after, 1_000).body());
-        page.map_or(Vec::new(), |p| p.get("results").list().to_vec())
-    };
-    sleep_ms(4_000);
+    record.line(&format!("{} streams were served whole; their connections stay open", connections.len()));
+
+    let stopped_at = record.now_ms();
+    if has_trouble() {
+        record.line(&format!("{}: SIGTERM", front.name));
+        front.signal(SIGTERM);
+    }
+    let clients: Vec<_> = connections
+        .into_iter()
+        .enumerate()
+        .map(|(n, mut connection)| {
+            let record = record.clone();
+            let at = SENT_EVERY_MS * (n as u64 + 1);
+            thread::spawn(move || {
+                sleep_ms((stopped_at + at).saturating_sub(record.now_ms()));
+                let id = format!("9c41d07be2a35f{n:02x}");
+                let sent = record.now_ms() - stopped_at;
+                let answer = connection.send("POST /lohu930/2f", &headers(&id), b"0123456789", 6_000);
+                record.line(&format!(
+                    "client: {id}, sent {sent} ms after the signal, ended {} ms after it: {}",
+                    record.now_ms() - stopped_at,
+                    answer.describe()
+                ));
+                (id, sent, answer)
+            })
+        })
+        .collect();
+    // The platform kills the process at the end of the grace period.
     if has_trouble() {
-        record.line("operator: version 9 of the configuration, without the batch route");
-        store.put("config", "main", configuration(9, &[streams]));
+        let has_ended = front.wait_for_end(8_000);
+        let after = record.now_ms() - stopped_at;
+        record.line(&format!("{}: ended {after} ms after the signal, by itself: {has_ended}", front.name));
+    }
+    let mut lost = Vec::new();
+    let mut served = 0;
+    for client in clients {
+        let (id, sent, answer) = client.join().unwrap_or_else(|_| quit("a client ended"));
+        served += usize::from(matches!(&answer, Answer::Whole(m) if m.status() == 200));
+        // Passed on to a server, and the connection ended without a complete answer, though no server
+        // broke off and the deadline was not reached.
+        let is_cut = !matches!(answer, Answer::Whole(_)) && !servers.runs_of(&id).is_empty();
+        if is_cut && sent > EXCUSED_MS {
+            lost.push(id);
+        }
     }
-    // The client reads twice a second, for the time until all results are due and finish_s more.
-    let until = record.now_ms() + 18_000 + 18_000;
-    let mut results = Vec::new();
-    let mut last_new = record.now_ms();
-    while record.now_ms() < until && results.len() < items.len() {
-        let new = listed(results.len());
-        if !new.is_empty() {
-            last_new = record.now_ms();
-            record.line(&format!("client: results {} to {}", results.len(), results.len() + new.len() - 1));
+    record.line(&format!("{served} of {CLIENTS} requests were served whole"));
+    sleep_ms(300);
+    for id in &lost {
+        for run in servers.runs_of(id) {
+            record.line(&format!("{id}: began at server {} at {} ms, ended {:?}", run.server, run.began_ms, run.ended));
         }
-        results.extend(new);
-        sleep_ms(400);
     }
-    let count = |state: &str| results.iter().filter(|r| r.get("state").str() == state).count();
-    let (completed, dead) = (count("completed"), count("dead_letter"));
-    let missing = items.len() - results.len();
-    record.line(&format!("{completed} items completed, {dead} given up, {missing} neither; the last result came at {last_new} ms"));
-    let last_run = servers.runs().iter().filter_map(|r| r.ended.map(|e| e.0)).max().unwrap_or(0);
-    let in_progress = servers.runs().iter().filter(|r| r.ended.is_none()).count();
-    record.line(&format!("servers: the last run ended at {last_run} ms, {in_progress} are in progress"));
-    let is_calm = in_progress == 0 && record.now_ms() > last_run + 5_000;
     drop(deployment);
-    finish(&record, (missing > 0 && is_calm).then(|| {
-        format!("LOST: {missing} items of an accepted job are listed neither as completed nor as dead_letter")
+    finish(&record, (!lost.is_empty()).then(|| {
+        format!("LOST: {} requests that were passed on to a sound server ended without a complete answer", lost.len())
     }));
 }
