--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -47,6 +47,12 @@
 
 impl Record {
     pub fn create(path: &str) -> Self {
+        // Whatever happens, the processes end, and the play takes less than 120 s.
+        std::panic::set_hook(Box::new(|info| quit(&info.to_string())));
+        thread::spawn(|| {
+            thread::sleep(Duration::from_secs(118));
+            quit("it takes too long");
+        });
         let file = fs::File::create(path).unwrap_or_else(|e| quit(&format!("no record: {e}")));
         Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
@@ -896,9 +902,16 @@
 
 fn end_processes() {
     IS_ENDING.store(true, Ordering::SeqCst);
-    for (child, _) in PROCESSES.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
-        let _ = child.kill();
-        let _ = child.wait();
+    for _ in 0..100 {
+        let Ok(mut processes) = PROCESSES.try_lock() else {
+            sleep_ms(20);
+            continue;
+        };
+        for (child, _) in processes.iter_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        return;
     }
 }
 
@@ -941,6 +954,11 @@
 
 impl Deployment {
     pub fn new(store: &Store, fronts: usize, stores: usize) -> Self {
+        Self::with_front_memory(store, fronts, stores, 260)
+    }
+
+    /// Like `new`, with so many MB of memory on each front.
+    pub fn with_front_memory(store: &Store, fronts: usize, stores: usize, front_mb: u64) -> Self {
         let octet = free_octet();
         let stamp = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos());
         let folder = std::env::temp_dir().join(format!("review-{}-{stamp}", std::process::id()));
@@ -952,7 +970,7 @@
             let ip = format!("127.{octet}.{}.{}", if is_front { 1 } else { 2 }, number + 1);
             let address = store.listen_for(&name);
             let (cores, memory, files, disk) =
-                if is_front { ("0.19", 260, 4_100, 0) } else { ("0.5", 290, 8_200, 440) };
+                if is_front { ("0.19", front_mb, 4_100, 0) } else { ("0.5", 290, 8_200, 440) };
             let listens = if is_front {
                 format!(r#"{{"front":"{ip}:8144","ready":"{ip}:8140"}}"#)
             } else {
@@ -1006,6 +1024,9 @@
         let log = fs::File::create(self.folder.join(format!("{}.{number}.log", self.name)));
         let log = log.unwrap_or_else(|e| quit(&e.to_string()));
         let keep = |name: &str| std::env::var(name).unwrap_or_default();
+        if IS_ENDING.load(Ordering::SeqCst) {
+            return;
+        }
         let child = Command::new(format!("target/release/mulberryshed-platform-{program}"))
             .env_clear()
             .env("PATH", keep("PATH"))
@@ -1049,6 +1070,15 @@
         }
     }
 
+    /// Returns the memory that the process holds, in KB.
+    pub fn rss_kb(&self) -> u64 {
+        let Some(index) = *self.process.lock().unwrap() else { return 0 };
+        let id = PROCESSES.lock().unwrap()[index].0.id();
+        let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("");
+        line.trim().trim_end_matches(" kB").parse().unwrap_or(0)
+    }
+
     pub fn is_ready(&self) -> bool {
         call(self.ready, "GET /api/readiness", &[("Host", self.ip.clone())], b"", 1_000).status() == 200
     }
