A refusal of a later try no longer stands for an earlier one without an answer (REFUSED)

Cause: a write whose call had no answer is tried again, and the refusal of that try (429, or the spent budget) was returned as the end of the write, though the first call may take effect as long as its condition holds. The owner then said "not run" and dropped the submission, instead of repeating the write until its end is known.

Change: write_resolved remembers that a try may take effect; from then on only the object, or a try that took effect, tells the end. A conflict whose object can't be read is left open too. Refusals made of such errors have an unknown run state, also in the product's own interface. 506 and store.writes_unknown show what was left open.

Why it works: the owner already repeats a write that it knows to be open, and keeps the submission until then.

--- a/crates/mulberry-direct/src/owner/submit.rs
+++ b/crates/mulberry-direct/src/owner/submit.rs
@@ -22,6 +22,7 @@
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
+use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::time::Millis;
 
 use crate::job_calls::JobReply;
@@ -185,7 +186,8 @@
             Ok(WriteOutcome::Conflict(_)) => match load_job(&owner, &job).await {
                 Ok(_) => match owner.state.borrow().jobs.get(&job) {
                     Some(known) => reply_to_repeat(&owner, known, account.as_ref()),
-                    None => refuse(not_owner()),
+                    // The store had the job a moment ago.
+                    None => refuse(Refusal { run: RunState::Unknown, ..not_owner() }),
                 },
                 Err(_) => {
                     tokio::time::sleep(Duration::from_millis(WRITE_RETRY_DELAY_MS)).await;
@@ -193,7 +195,7 @@
                     continue;
                 }
             },
-            Err(e) if may_have_taken_effect(&e) || outcome_unknown => {
+            Err(e) if e.may_have_taken_effect() || outcome_unknown => {
                 outcome_unknown = true;
                 if owner.state.borrow().generation != generation {
                     return refuse(Refusal::unknown(
@@ -247,11 +249,6 @@
 /// Assumed size of an item's headers and field names, in bytes.
 const ITEM_OVERHEAD_BYTES: usize = 400;
 
-/// Returns whether a failed write may have taken effect in the store.
-fn may_have_taken_effect(error: &PlatformError) -> bool {
-    matches!(error, PlatformError::NoAnswer { .. } | PlatformError::BadAnswer { .. })
-}
-
 /// Returns the tokens of all items of an account that wait or run on a route, those of pending
 /// submissions included.
 fn waiting_tokens(state: &OwnerState, route: &str, account: Option<&ClientName>) -> u64 {
--- a/crates/mulberry-platform/src/error.rs
+++ b/crates/mulberry-platform/src/error.rs
@@ -76,19 +76,41 @@
 /// Time after which a caller may retry a request that needs the store, in milliseconds.
 const RETRY_AFTER_MS: u32 = 2_000;
 
+/// Names of the calls that change objects.
+const WRITING_CALLS: [&str; 2] = ["write", "delete"];
+
 impl PlatformError {
     /// Returns whether the error suggests that the platform is down or overloaded.
     pub fn is_outage(&self) -> bool {
         matches!(self, PlatformError::NoAnswer { .. } | PlatformError::RateLimited { .. })
     }
 
-    /// Converts the error into the refusal of a request that did not run because the store could
-    /// not be used.
+    /// Returns whether the call was a write that may have taken effect, or may still take effect later.
+    pub fn may_have_taken_effect(&self) -> bool {
+        match self {
+            PlatformError::NoAnswer { call, .. } | PlatformError::BadAnswer { call, .. } => {
+                WRITING_CALLS.contains(call)
+            }
+            PlatformError::RateLimited { .. }
+            | PlatformError::BudgetSpent { .. }
+            | PlatformError::Conflict { .. }
+            | PlatformError::Compacted
+            | PlatformError::Denied { .. }
+            | PlatformError::TooLarge { .. } => false,
+        }
+    }
+
+    /// Converts the error into the refusal of a request that the store could not be used for. The request
+    /// did not run, unless the error leaves open whether a write took effect.
     pub fn into_refusal(self) -> Refusal {
         let retry_ms = match self {
             PlatformError::BudgetSpent { retry_ms } => retry_ms.min(60_000) as u32,
             _ => RETRY_AFTER_MS,
         };
-        Refusal::not_run(RefusalReason::StoreUnavailable, self.to_string()).retry_after(retry_ms)
+        let refusal = match self.may_have_taken_effect() {
+            true => Refusal::unknown(RefusalReason::StoreUnavailable, self.to_string()),
+            false => Refusal::not_run(RefusalReason::StoreUnavailable, self.to_string()),
+        };
+        refusal.retry_after(retry_ms)
     }
 }
--- a/crates/mulberry-platform/src/store.rs
+++ b/crates/mulberry-platform/src/store.rs
@@ -31,6 +31,7 @@
 use crate::object_api::ObjectApi;
 use crate::object_api::WatchBatch;
 use crate::object_api::WriteCondition;
+use crate::response::no_answer;
 
 /// Timeout of the wait until the budget allows a call, in milliseconds. A call that would have to
 /// wait longer fails with [`PlatformError::BudgetSpent`].
@@ -57,7 +58,8 @@
 pub enum WriteOutcome {
     /// The write took effect, and the object has this version.
     Written(u64),
-    /// The write did not take effect. Holds the object as it is now, or none if it does not exist.
+    /// The object is not, or no longer, as the write would have left it, and the write will not take effect
+    /// any more. Holds the object as it is now, or none if it does not exist.
     Conflict(Option<Object>),
 }
 
@@ -344,6 +346,10 @@
 
     /// Makes a conditional write, and repeats it or reads the object back until its outcome is
     /// known or the attempts are used up.
+    ///
+    /// A try without a response may take effect as long as its condition holds, also after later tries of
+    /// the same write. From then on a refusal of a later try says nothing of the write: it fails with
+    /// [`PlatformError::NoAnswer`].
     async fn write_resolved(
         &self,
         class: CallClass,
@@ -351,36 +357,51 @@
         value: Bytes,
         condition: WriteCondition,
     ) -> Result<WriteOutcome, PlatformError> {
-        let mut last_result = self.write_once(class, key, value.clone(), condition).await;
+        let mut result = self.write_once(class, key, value.clone(), condition).await;
+        let mut may_take_effect = false;
         for _ in 0..self.budget.max_resolve_attempts() {
-            match last_result {
+            let error = match result {
                 Ok(version) => return Ok(WriteOutcome::Written(version)),
-                Err(PlatformError::Conflict { .. } | PlatformError::NoAnswer { .. }) => {}
-                Err(other) => return Err(other),
+                Err(e) => e,
+            };
+            let is_response_lost = error.may_have_taken_effect();
+            may_take_effect |= is_response_lost;
+            if !is_response_lost && !matches!(error, PlatformError::Conflict { .. }) {
+                return Err(self.settle_failure(class, key, error, may_take_effect));
             }
-            // A write without a response may have taken effect, and a conflict may be with an
-            // earlier attempt of the same write whose response was lost. Only the object shows what
-            // happened.
-            let is_response_lost = matches!(last_result, Err(PlatformError::NoAnswer { .. }));
-            match self.read(class, key).await {
-                Ok(Some(object)) if object.value == value => {
-                    return Ok(WriteOutcome::Written(object.version));
-                }
+            // A conflict may be with an earlier try of the same write whose response was lost. Only
+            // the object shows what happened.
+            result = match self.read(class, key).await {
+                Ok(Some(object)) if object.value == value => Ok(object.version),
                 Ok(found) if is_response_lost && condition_holds(&found, condition) => {
-                    last_result = self.write_once(class, key, value.clone(), condition).await;
+                    self.write_once(class, key, value.clone(), condition).await
                 }
                 Ok(found) => return Ok(WriteOutcome::Conflict(found)),
-                Err(e) if is_response_lost => {
-                    last_result =
-                        Err(PlatformError::NoAnswer { call: "write", detail: e.to_string() });
-                }
-                Err(e) => return Err(e),
-            }
+                Err(e) if is_response_lost => Err(no_answer("write", e)),
+                Err(e) => return Err(self.settle_failure(class, key, e, true)),
+            };
         }
-        match last_result {
+        match result {
             Ok(version) => Ok(WriteOutcome::Written(version)),
-            Err(e) => Err(e),
+            Err(e) => Err(self.settle_failure(class, key, e, may_take_effect)),
+        }
+    }
+
+    /// Returns the error of a write whose last call failed with `error`. `may_take_effect` says whether an
+    /// earlier call leaves open how the write ends.
+    fn settle_failure(
+        &self,
+        class: CallClass,
+        key: &str,
+        error: PlatformError,
+        may_take_effect: bool,
+    ) -> PlatformError {
+        if !may_take_effect && !error.may_have_taken_effect() {
+            return error;
         }
+        self.budget.metrics.count_reason("store.writes_unknown", class.as_str());
+        log_event!(info, Event::WriteUnknown, key, error = %error);
+        no_answer("write", error)
     }
 
     async fn write_once(
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -136,6 +136,8 @@
     WatchFailed = 504, "list or watch failed";
     /// An object among others in the store can't be read.
     ObjectUnreadable = 505, "object can't be read";
+    /// A write to the object API ended without a known outcome.
+    WriteUnknown = 506, "write has no known end";
     /// An engine crashed or broke its streams.
     EngineCrashed = 600, "engine crashed";
     /// A request is confirmed to crash endpoints and will be refused.
