Split the HTTP handler of entries: heads of requests, responses, and requests on jobs

handler.rs had 469 lines and four jobs. What a head says, the responses with their refusals, and callers' requests on batch jobs are modules of their own now; nothing else changes. It makes room for what a stopping entry must ask of each request.

--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -6,41 +6,39 @@
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
-use actix_web::HttpResponseBuilder;
-use actix_web::http::StatusCode as CallerStatus;
 use actix_web::web;
-use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::header::HeaderName;
-use hyper::header::HeaderValue;
-use rand::Rng;
 
-use mulberry_protocol::account::ClientAccount;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
-use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
-use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::route::Configuration;
 use mulberry_protocol::route::Route;
 use mulberry_protocol::route::RouteKind;
 
 use crate::accounts::authenticate;
 use crate::accounts::authenticate_again;
-use crate::accounts::has_public_jobs;
 use crate::accounts::set_account;
+use crate::caller_head::check_head_size;
+use crate::caller_head::convert_method;
+use crate::caller_head::forwarded_headers;
+use crate::caller_head::host_without_port;
+use crate::caller_head::parse_number_header;
+use crate::caller_head::request_id;
+use crate::caller_head::text_header;
 use crate::caller_request::CallerRequest;
+use crate::caller_response::copy_headers;
+use crate::caller_response::refuse_request;
+use crate::caller_response::response_builder;
 use crate::connection::ConnectionPool;
-use crate::dialect::JobRequest;
-use crate::exchange::strip_hop_headers;
 use crate::fair_share::FairPlace;
 use crate::fingerprint::online_fingerprint;
 use crate::fingerprint::part_fingerprints;
-use crate::job_calls::JobCall;
 use crate::job_calls::JobClient;
-use crate::job_calls::JobReply;
-use crate::refusal_log::log_refusal;
+use crate::job_handler::SUBMIT_TIMEOUT_MS;
+use crate::job_handler::Submission;
+use crate::job_handler::handle_job_request;
+use crate::job_handler::submit_job;
 use crate::relay::Relay;
 use crate::relay::RelayResponse;
 use crate::request_scope::RequestScope;
@@ -51,17 +49,9 @@
 /// Deadline of requests that state none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Longest time for which submitting or ending a job waits while the store or the owner is
-/// unavailable, in milliseconds.
-const SUBMIT_TIMEOUT_MS: u64 = 2_500;
-
 /// Part of the caller's deadline that is reserved for returning the response, in milliseconds.
 const RESPONSE_MARGIN_MS: u64 = 150;
 
-/// Time that the owner has for a read in addition to the wait the caller asked for, in
-/// milliseconds.
-const READ_MARGIN_MS: u64 = 1_500;
-
 /// Largest request body if the configuration states no limit, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -71,9 +61,9 @@
 
 /// Request handler of one traffic thread, with its connections to endpoints and to the owner.
 pub struct RequestHandler {
-    shared: Arc<SharedState>,
+    pub(crate) shared: Arc<SharedState>,
     relay: Relay,
-    jobs: JobClient,
+    pub(crate) jobs: JobClient,
 }
 
 impl RequestHandler {
@@ -251,148 +241,8 @@
     }
 }
 
-fn response_builder(shared: &SharedState, status: u16) -> HttpResponseBuilder {
-    let status = CallerStatus::from_u16(status).unwrap_or(CallerStatus::BAD_GATEWAY);
-    let mut response = HttpResponse::build(status);
-    if shared.stop.is_triggered() {
-        response.force_close();
-    }
-    response
-}
-
-fn copy_headers(headers: &HeaderMap, response: &mut HttpResponseBuilder) {
-    for (name, value) in headers {
-        response.append_header((name.as_str(), value.as_bytes()));
-    }
-}
-
-/// A batch job that a caller submits.
-struct Submission {
-    route: Arc<Route>,
-    account: Option<Arc<ClientAccount>>,
-    request_id: HeaderValue,
-    body: Bytes,
-    left_ms: u64,
-}
-
-async fn submit_job(
-    handler: &RequestHandler,
-    req: &HttpRequest,
-    submission: Submission,
-) -> HttpResponse {
-    let Submission { route, account, request_id, body, left_ms } = submission;
-    let job = request_id.to_str().unwrap_or("").to_owned();
-    let host = host_without_port(req).to_owned();
-    let route = route.name.to_string();
-    let call = JobCall::Submit { job: JobId::new(&job), route, host, body, left_ms };
-    let call = call.for_account(account.map(|a| a.name.clone()));
-    let reply = handler.jobs.call(&call, left_ms).await;
-    write_job_reply(handler, req, &job, reply, true)
-}
-
-async fn handle_job_request(
-    handler: &RequestHandler,
-    req: &HttpRequest,
-    request: JobRequest,
-) -> Result<HttpResponse, Refusal> {
-    let names = handler.shared.dialect.headers();
-    let configuration = require_configuration(&handler.shared)?;
-    let is_public = has_public_jobs(&configuration, host_without_port(req));
-    let account = authenticate(&handler.shared, &configuration, is_public, req)?;
-    let wait_ms = parse_number_header(req, &names.wait_ms).unwrap_or(0);
-    let (job, call) = match request {
-        JobRequest::Results { job, after } => {
-            (job.clone(), JobCall::Read { job: JobId::new(&job), after, wait_ms })
-        }
-        JobRequest::ItemBody { job, item } => {
-            (job.clone(), JobCall::ItemBody { job: JobId::new(&job), item })
-        }
-        JobRequest::End { job } => {
-            (job.clone(), JobCall::End { job: JobId::new(&job), left_ms: SUBMIT_TIMEOUT_MS })
-        }
-    };
-    let call = call.for_account(account.as_ref().map(|a| a.name.clone()));
-    let reply = handler.jobs.call(&call, wait_ms + READ_MARGIN_MS).await;
-    authenticate_again(&handler.shared, &configuration, is_public, req, account)?;
-    Ok(write_job_reply(handler, req, &job, reply, false))
-}
-
-fn write_job_reply(
-    handler: &RequestHandler,
-    req: &HttpRequest,
-    job: &str,
-    reply: JobReply,
-    is_submission: bool,
-) -> HttpResponse {
-    let shared = &handler.shared;
-    match reply {
-        JobReply::Accepted => response_builder(shared, 202).finish(),
-        JobReply::Ended | JobReply::Taken => response_builder(shared, 200).finish(),
-        JobReply::Page(page) => {
-            response_builder(shared, 200).content_type("application/json").body(page)
-        }
-        JobReply::Body(body) => {
-            response_builder(shared, 200).content_type("application/octet-stream").body(body)
-        }
-        JobReply::NotFound => response_builder(shared, 404).finish(),
-        JobReply::OverQuota => {
-            let account = shared.count_refused(req);
-            log_event!(info, Event::JobRefused, job, account, reason = "over-quota");
-            response_builder(shared, 429).finish()
-        }
-        JobReply::Refused(refusal) => {
-            let account = shared.count_refused(req);
-            log_event!(
-                info,
-                Event::JobRefused,
-                job,
-                account,
-                reason = refusal.reason.as_str(),
-                run = refusal.run.as_str(),
-                detail = refusal.detail
-            );
-            let unknown = is_submission && refusal.run != RunState::NotRun;
-            let status = match refusal.reason {
-                RefusalReason::Malformed => 400,
-                RefusalReason::Conflict => 409,
-                _ if unknown => 504,
-                _ => 503,
-            };
-            write_refusal(shared, status, refusal.retry_after_ms)
-        }
-    }
-}
-
-fn refuse_request(shared: &SharedState, req: &HttpRequest, refusal: &Refusal) -> HttpResponse {
-    shared.metrics.count_reason("direct.refusals", refusal.reason.as_str());
-    let account = shared.count_refused(req);
-    if refusal.reason != RefusalReason::Memory {
-        log_refusal(shared, req, &account, refusal);
-    }
-    let may_have_run = refusal.run != RunState::NotRun;
-    let status = match refusal.reason {
-        RefusalReason::Deadline if may_have_run => 504,
-        _ if may_have_run => 502,
-        // That a request crashes endpoints is inferred. 503 says what is known: it did not run.
-        RefusalReason::Poison => 503,
-        reason => reason.status(),
-    };
-    // The status tells the caller whether the request may have run: 502 that it may have, 503 that
-    // it did not.
-    let status = if !may_have_run && status == 502 { 503 } else { status };
-    write_refusal(shared, status, refusal.retry_after_ms)
-}
-
-fn write_refusal(shared: &SharedState, status: u16, retry_after_ms: Option<u32>) -> HttpResponse {
-    let mut response = response_builder(shared, status);
-    if let Some(retry_ms) = retry_after_ms.filter(|_| matches!(status, 429 | 503)) {
-        let seconds = f64::from(retry_ms) / 1000.0;
-        response.insert_header(("retry-after", seconds.to_string()));
-    }
-    response.finish()
-}
-
-fn require_configuration(shared: &SharedState) -> Result<Arc<Configuration>, Refusal> {
+/// Returns the configuration in force. Refuses the request if none has been loaded yet.
+pub(crate) fn require_configuration(shared: &SharedState) -> Result<Arc<Configuration>, Refusal> {
     shared.configuration.load_full().ok_or_else(|| {
         Refusal::not_run(RefusalReason::NotReady, "no configuration has been loaded yet")
             .retry_after(NOT_READY_RETRY_AFTER_MS)
@@ -410,60 +260,3 @@
         Refusal::not_run(RefusalReason::NotFound, detail)
     })
 }
-
-/// Size of the separators around each header, in bytes: a colon, a space, CR and LF.
-const HEADER_OVERHEAD_BYTES: usize = 4;
-
-fn check_head_size(req: &HttpRequest, max_bytes: usize) -> Result<(), Refusal> {
-    let line = req.uri().path_and_query().map_or(0, |t| t.as_str().len());
-    let headers = req
-        .headers()
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
-    let bytes = line + headers.sum::<usize>();
-    if max_bytes > 0 && bytes > max_bytes {
-        let detail = format!("the request head has {bytes} bytes, the limit is {max_bytes}");
-        return Err(Refusal::not_run(RefusalReason::HeadTooLarge, detail));
-    }
-    Ok(())
-}
-
-fn host_without_port(req: &HttpRequest) -> &str {
-    let host = req.headers().get("host").and_then(|v| v.to_str().ok()).unwrap_or("");
-    host.split(':').next().unwrap_or(host)
-}
-
-fn parse_number_header(req: &HttpRequest, name: &HeaderName) -> Option<u64> {
-    let text = req.headers().get(name.as_str())?.to_str().ok()?;
-    let number: f64 = text.trim().parse().ok()?;
-    (number >= 0.0).then_some(number as u64)
-}
-
-fn text_header(req: &HttpRequest, name: &HeaderName) -> Option<Arc<str>> {
-    req.headers().get(name.as_str())?.to_str().ok().map(Arc::from)
-}
-
-fn request_id(req: &HttpRequest, name: &HeaderName) -> HeaderValue {
-    let given = req.headers().get(name.as_str());
-    let given = given.and_then(|v| HeaderValue::from_bytes(v.as_bytes()).ok());
-    given.unwrap_or_else(|| HeaderValue::from(rand::rng().random::<u64>()))
-}
-
-fn convert_method(req: &HttpRequest) -> Result<hyper::Method, Refusal> {
-    hyper::Method::from_bytes(req.method().as_str().as_bytes())
-        .map_err(|e| Refusal::not_run(RefusalReason::Malformed, e.to_string()))
-}
-
-fn forwarded_headers(req: &HttpRequest) -> HeaderMap {
-    let mut headers = HeaderMap::with_capacity(req.headers().len() + 2);
-    for (name, value) in req.headers() {
-        let name = HeaderName::from_bytes(name.as_str().as_bytes());
-        let value = HeaderValue::from_bytes(value.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    strip_hop_headers(&mut headers);
-    headers.remove("expect");
-    headers
-}
