--- a/crates/mulberry-direct/src/caller_server.rs
+++ b/crates/mulberry-direct/src/caller_server.rs
@@ -81,8 +81,7 @@
                 .finish(map_config(new_app(), |()| AppConfig::default()));
             let accept = move |socket: TcpStream| {
                 let peer = socket.peer_addr().ok();
-                let max_head_bytes = shared.max_head_bytes();
-                let stream = CallerStream::new(socket, max_head_bytes, shared.clock.clone());
+                let stream = CallerStream::new(socket, &shared);
                 table.add(&stream.connection);
                 ready(Ok::<_, DispatchError>((stream, Protocol::Http1, peer)))
             };
--- a/crates/mulberry-direct/src/caller_stream.rs
+++ b/crates/mulberry-direct/src/caller_stream.rs
@@ -30,6 +30,10 @@
 use mulberry_process::clock::SharedClock;
 use mulberry_protocol::time::Millis;
 
+use crate::drain_gate::InProgressCount;
+use crate::drain_gate::InProgressGuard;
+use crate::shared::SharedState;
+
 /// Bytes that are read from the socket at once while a head is awaited. It also bounds what is read behind
 /// a request that is being served, to see whether the caller has closed the connection.
 const READ_AHEAD_BYTES: usize = 2_048;
@@ -99,6 +103,8 @@
     closing_since: Option<Millis>,
     reader: Option<Waker>,
     is_ended: bool,
+    /// Counts a request until its response has been handed to the operating system.
+    in_progress: Option<InProgressGuard>,
 }
 
 /// A caller's connection, as its socket, its requests and the table of connections share it.
@@ -108,6 +114,7 @@
     /// Bytes of a head up to which it is read.
     max_head_bytes: usize,
     clock: SharedClock,
+    in_progress: InProgressCount,
     state: RefCell<State>,
     fault: Cell<Option<CallerFault>>,
     /// The present request's holder of bytes.
@@ -116,7 +123,10 @@
 
 impl CallerConnection {
     /// Returns the state of a connection that has just been accepted.
-    pub fn new(address: Option<IpAddr>, max_head_bytes: usize, clock: SharedClock) -> Rc<Self> {
+    pub fn new(address: Option<IpAddr>, shared: &SharedState) -> Rc<Self> {
+        let clock = shared.clock.clone();
+        let max_head_bytes = shared.max_head_bytes();
+        let in_progress = shared.drain.in_progress().clone();
         let state = State {
             gate: Gate::Head,
             head_end: HeadEnd::default(),
@@ -126,16 +136,18 @@
             closing_since: None,
             reader: None,
             is_ended: false,
+            in_progress: None,
         };
         let state = RefCell::new(state);
         let (fault, holder) = (Cell::new(None), Cell::new(None));
-        Rc::new(Self { address, max_head_bytes, clock, state, fault, holder })
+        Rc::new(Self { address, max_head_bytes, clock, in_progress, state, fault, holder })
     }
 
     /// Begins to serve a request whose head has been read.
     pub fn begin_request(&self) {
         let mut state = self.state.borrow_mut();
         state.is_serving = true;
+        state.in_progress.get_or_insert_with(|| self.in_progress.begin());
         state.gate = Gate::Body(0);
         state.step = CallerStep::Serving;
     }
@@ -284,6 +296,14 @@
         }
     }
 
+    /// Records that all that the HTTP server has written was handed to the operating system.
+    fn record_flush(&self) {
+        let mut state = self.state.borrow_mut();
+        if !state.is_serving {
+            state.in_progress = None;
+        }
+    }
+
     fn record_write(&self, is_blocked: bool) {
         let mut state = self.state.borrow_mut();
         if is_blocked {
@@ -321,9 +341,9 @@
 
 impl CallerStream {
     /// Wraps an accepted socket.
-    pub fn new(socket: TcpStream, max_head_bytes: usize, clock: SharedClock) -> Self {
+    pub fn new(socket: TcpStream, shared: &SharedState) -> Self {
         let address = socket.peer_addr().ok().map(|a| a.ip());
-        let connection = CallerConnection::new(address, max_head_bytes, clock);
+        let connection = CallerConnection::new(address, shared);
         Self { socket, connection, ahead: BytesMut::new() }
     }
 
@@ -405,7 +425,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &flushed {
+            self.connection.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/mulberry-direct/src/entry.rs
+++ b/crates/mulberry-direct/src/entry.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::App;
@@ -15,6 +14,8 @@
 use tokio::sync::watch;
 
 use mulberry_platform::store::Store;
+use mulberry_policy::entry_drain::DrainPhase;
+use mulberry_policy::entry_drain::EntryDrain;
 use mulberry_process::stop::wait_for_signal;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -38,21 +39,12 @@
 /// Most connections at the address for readiness probes.
 const MAX_PROBE_CONNECTIONS: usize = 64;
 
-/// Time after the stop signal for which the process serves on in any case, in milliseconds: new
-/// callers still arrive until the load balancer has noticed that the process is not ready.
-const MIN_DRAIN_MS: u64 = 3_200;
-
-/// Time after the stop signal at which new requests are refused, in milliseconds. By then the load
-/// balancer opens no new connections, and a request that arrives on an old one might be cut off by
-/// the end of the process.
-const REFUSE_AFTER_MS: u64 = 4_000;
-
-/// Part of the grace period that is reserved for closing the server, in milliseconds.
-const SHUTDOWN_MARGIN_MS: u64 = 700;
-
 /// Interval at which a draining process checks for requests in progress, in milliseconds.
 const DRAIN_POLL_INTERVAL_MS: u64 = 50;
 
+/// Timeout of closing the servers. The process ends in any case.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// An error at the start of an entry or owner process.
 #[derive(Debug, Error, Diagnostic)]
 pub enum StartError {
@@ -77,8 +69,8 @@
     },
 }
 
-/// Runs an entry, with the control tasks on the calling thread, until a stop signal arrives and the
-/// requests in progress are drained.
+/// Runs an entry, with the control tasks on the calling thread, until a signal or [`SharedState::stop`] stops
+/// it and the requests in progress are drained.
 pub async fn run_entry(shared: Arc<SharedState>, store: Store) -> Result<(), StartError> {
     let servers = start_servers(&shared)?;
     let listen = |source| StartError::Listen { what: "datagrams", source };
@@ -98,9 +90,12 @@
     let stored = watch_stored_convictions(shared.clone(), store.clone(), gate.subscribe());
     actix_rt::spawn(stored);
     actix_rt::spawn(send_heartbeats(shared.clone(), store, socket, PeerRole::Entry, || None));
-    wait_for_signal().await;
-    drain(&shared, servers).await;
-    log_event!(info, Event::ProcessStopped, name = %shared.settings.name);
+    tokio::select! {
+        () = wait_for_signal() => {}
+        () = shared.stop.wait() => {}
+    }
+    let cut = drain(&shared, servers).await;
+    log_event!(info, Event::ProcessStopped, name = %shared.settings.name, cut);
     Ok(())
 }
 
@@ -145,22 +140,20 @@
         .map_err(|source| StartError::Listen { what, source })
 }
 
-/// Shuts the server down gracefully: serves on until the load balancer has noticed, then until no
-/// request is in progress or the grace period is about to end.
-async fn drain(shared: &SharedState, servers: Vec<ServerHandle>) {
-    let in_flight = || shared.in_flight.load(Ordering::Relaxed);
-    log_event!(info, Event::ProcessStopping, name = %shared.settings.name, in_flight = in_flight());
+/// Stops the servers by the steps of an [`EntryDrain`]. Returns how many requests in progress were cut off.
+async fn drain(shared: &SharedState, servers: Vec<ServerHandle>) -> u64 {
+    let in_progress = || shared.drain.in_progress().get();
+    let mut drain = EntryDrain::begin(shared.clock.now(), shared.settings.grace_ms);
+    shared.drain.set_takes_until(drain.takes_until());
+    log_event!(info, Event::ProcessStopping, name = %shared.settings.name, in_flight = in_progress());
     shared.stop.trigger();
-    let started = shared.clock.now();
-    let max_drain_ms = shared.settings.grace_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
-    loop {
+    while drain.advance(in_progress(), shared.clock.now()) != DrainPhase::Closed {
+        shared.drain.set_takes_until(drain.takes_until());
         tokio::time::sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
-        let elapsed_ms = shared.clock.now().since(started);
-        shared.closing.store(elapsed_ms >= REFUSE_AFTER_MS, Ordering::Relaxed);
-        if elapsed_ms >= max_drain_ms || elapsed_ms >= MIN_DRAIN_MS && in_flight() == 0 {
-            break;
-        }
     }
+    shared.drain.set_takes_until(drain.takes_until());
+    let cut = in_progress();
     let stopping = join_all(servers.iter().map(|server| server.stop(false)));
-    let _closed = tokio::time::timeout(Duration::from_millis(200), stopping).await;
+    let _closed = tokio::time::timeout(CLOSE_TIMEOUT, stopping).await;
+    cut
 }
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -1,7 +1,6 @@
 //! HTTP handler of an entry: reads callers' requests, finds their routes and writes the responses.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::HttpRequest;
@@ -15,6 +14,7 @@
 use mulberry_protocol::route::Configuration;
 use mulberry_protocol::route::Route;
 use mulberry_protocol::route::RouteKind;
+use mulberry_protocol::time::Millis;
 
 use crate::accounts::authenticate;
 use crate::accounts::authenticate_again;
@@ -101,10 +101,6 @@
     if dialect.is_readiness_probe(req.method().as_str(), req.path()) {
         return readiness_response(shared);
     }
-    if shared.closing.load(Ordering::Relaxed) {
-        let refusal = Refusal::not_run(RefusalReason::Leaving, "the process is shutting down");
-        return refuse_request(shared, req, &refusal.retry_after(0));
-    }
     let guard = shared.begin_request();
     let started = shared.clock.now();
     let path = req.uri().path();
@@ -142,22 +138,26 @@
     let route = find_route(&configuration, req)?;
     let names = shared.dialect.headers();
     let account = authenticate(shared, &configuration, route.is_public, req)?;
+    let deadline_ms = parse_number_header(req, &names.deadline_ms);
+    let deadline_ms = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let longest_ms = longest_ms(&route, deadline_ms);
+    require_time(shared, started + longest_ms)?;
     let max_bytes = match configuration.limits.body_bytes {
         0 => DEFAULT_MAX_BODY_BYTES,
         stated => stated,
     };
     let body = scope.read_body(payload, max_bytes).await?;
     let account = authenticate_again(shared, &configuration, route.is_public, req, account)?;
-    let deadline_ms = parse_number_header(req, &shared.dialect.headers().deadline_ms);
-    let deadline_ms = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let request_id = request_id(req, &shared.dialect.headers().request_id);
     if route.kind == RouteKind::Batch {
-        let left_ms = deadline_ms.saturating_sub(RESPONSE_MARGIN_MS).min(SUBMIT_TIMEOUT_MS);
+        require_time(shared, shared.clock.now() + longest_ms)?;
+        let left_ms = longest_ms.saturating_sub(RESPONSE_MARGIN_MS);
         let submission = Submission { route, account, request_id, body, left_ms };
         return Ok(submit_job(handler, req, submission).await);
     }
-    let timeout_ms =
-        if route.timeout_ms == 0 { deadline_ms } else { deadline_ms.min(route.timeout_ms) };
+    let due = started + longest_ms;
+    // The body may have come for a long time, and the process may stop meanwhile.
+    require_time(shared, due)?;
     let is_retry = shared.queue_limits().detect_retry(&route.name, deadline_ms);
     let method = convert_method(req)?;
     let target = req.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
@@ -181,7 +181,7 @@
         headers,
         request_id,
         body,
-        due: started + timeout_ms,
+        due,
         is_retry,
         resumes: text_header(req, &shared.dialect.headers().resumes),
         last_event: parse_number_header(req, &shared.dialect.headers().last_event_id),
@@ -241,6 +241,25 @@
     }
 }
 
+/// Returns the longest time that a request takes, answered or not, in milliseconds.
+fn longest_ms(route: &Route, deadline_ms: u64) -> u64 {
+    match (route.kind, route.timeout_ms) {
+        (RouteKind::Batch, _) => deadline_ms.min(SUBMIT_TIMEOUT_MS + RESPONSE_MARGIN_MS),
+        (_, 0) => deadline_ms,
+        (_, timeout_ms) => deadline_ms.min(timeout_ms),
+    }
+}
+
+/// Refuses a request that might be cut off by the end of this process: it stops, and the request ends by
+/// `due` at the latest.
+pub(crate) fn require_time(shared: &SharedState, due: Millis) -> Result<(), Refusal> {
+    if shared.drain.takes(due) {
+        return Ok(());
+    }
+    let detail = "the process stops before the request must have ended";
+    Err(Refusal::not_run(RefusalReason::Leaving, detail).retry_after(0))
+}
+
 /// Returns the configuration in force. Refuses the request if none has been loaded yet.
 pub(crate) fn require_configuration(shared: &SharedState) -> Result<Arc<Configuration>, Refusal> {
     shared.configuration.load_full().ok_or_else(|| {
--- a/crates/mulberry-direct/src/job_handler.rs
+++ b/crates/mulberry-direct/src/job_handler.rs
@@ -26,6 +26,7 @@
 use crate::dialect::JobRequest;
 use crate::handler::RequestHandler;
 use crate::handler::require_configuration;
+use crate::handler::require_time;
 use crate::job_calls::JobCall;
 use crate::job_calls::JobReply;
 
@@ -86,7 +87,9 @@
         }
     };
     let call = call.for_account(account.as_ref().map(|a| a.name.clone()));
-    let reply = handler.jobs.call(&call, wait_ms + READ_MARGIN_MS).await;
+    let longest_ms = wait_ms + READ_MARGIN_MS;
+    require_time(&handler.shared, handler.shared.clock.now() + longest_ms)?;
+    let reply = handler.jobs.call(&call, longest_ms).await;
     authenticate_again(&handler.shared, &configuration, is_public, req, account)?;
     Ok(write_job_reply(handler, req, &job, reply, false))
 }
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod continuation;
 pub mod crashes;
 pub mod dialect;
+pub mod drain_gate;
 pub mod endpoint_notice;
 pub mod entry;
 pub mod exchange;
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -55,6 +55,7 @@
 use crate::caller_table::CallerFaults;
 use crate::confirmation::Confirmation;
 use crate::dialect::Dialect;
+use crate::drain_gate::DrainGate;
 use crate::endpoint_notice::EndpointNotice;
 use crate::fair_share::FairShareDesk;
 use crate::limits::LimitDesk;
@@ -99,11 +100,8 @@
     pub endpoints: ArcSwap<Endpoints>,
     /// Secrets that authenticate peers to each other; empty before they were read.
     pub secrets: ArcSwapOption<SecretKeyring>,
-    /// Number of callers' requests in progress.
-    pub in_flight: AtomicU64,
-    /// Whether the shutdown has progressed so far that new requests are refused, because they might
-    /// not complete any more.
-    pub closing: AtomicBool,
+    /// Which requests are still taken when the process stops, and how many are in progress.
+    pub drain: DrainGate,
     /// Whether the process watches the configuration and the endpoints; a standby owner does not.
     is_watching: AtomicBool,
     /// Incremented when the pending watch calls must be sent again.
@@ -174,8 +172,7 @@
             configuration: ArcSwapOption::empty(),
             endpoints: ArcSwap::from_pointee(Endpoints::default()),
             secrets: ArcSwapOption::empty(),
-            in_flight: AtomicU64::new(0),
-            closing: AtomicBool::new(false),
+            drain: DrainGate::default(),
             is_watching: AtomicBool::new(true),
             renewals: watch::Sender::new(0),
             peers: Mutex::default(),
@@ -359,9 +356,8 @@
         LoadGuard { shared: self.clone(), endpoint, class }
     }
 
-    /// Counts a caller's request as in progress until the guard is dropped.
+    /// Begins a caller's request, which is of no client account yet.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
         RequestGuard { shared: self.clone(), account: None }
     }
 
@@ -392,7 +388,7 @@
     }
 }
 
-/// Keeps one caller's request counted as in progress until dropped.
+/// Keeps one caller's request counted for its client account until dropped.
 pub struct RequestGuard {
     shared: Arc<SharedState>,
     /// Account for which it is counted as an online request in flight.
@@ -411,7 +407,6 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
         if let Some(account) = self.account {
             self.shared.account_usages().end(account, self.shared.clock.now());
         }
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod endpoint_limits;
 pub mod endpoint_registry;
 pub mod endpoint_speed;
+pub mod entry_drain;
 pub mod event_sequence;
 pub mod expected_wait;
 pub mod fair_share;
