What callers are told of a job call that may still take effect: no 429 or 503

What callers would see: 429 for a job that an earlier owner, whose link broke off during the same call, has stored and runs; 503 for the end of a job that is stored a moment later. Both statuses promise that nothing is done and never will be.

A later refusal stood for an earlier call without an answer: the quota of the next owner, and the time-out of a call that ends a job, which the owner goes on to store.

Change: whatever an owner replies after an uncertain call, a refusal leaves the outcome open, also over the quota; so does the refusal of an owner that has lost the lease while it ended a job. Submissions and ends whose outcome is open get 504.

--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -155,15 +155,10 @@
                 Some(address) => {
                     match tokio::time::timeout(left, self.exchange(address, call)).await {
                         Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
+                            uncertain |= r.run != RunState::NotRun;
                             CallFailure::NoOwner
                         }
-                        Ok(Ok(JobReply::Refused(r))) => {
-                            return JobReply::Refused(if uncertain {
-                                with_unknown_run_state(r)
-                            } else {
-                                r
-                            });
-                        }
+                        Ok(Ok(reply)) if uncertain => return after_uncertain_try(reply),
                         Ok(Ok(reply)) => return reply,
                         Ok(Err(LinkError::Connect { .. })) => {
                             unreachable = Some(address);
@@ -247,6 +242,25 @@
     Timeout,
 }
 
+/// Returns the reply to a call that an earlier try may have carried out, or may still carry out: that the
+/// present owner refuses it does not say that nothing is done.
+fn after_uncertain_try(reply: JobReply) -> JobReply {
+    match reply {
+        JobReply::Refused(refusal) => JobReply::Refused(with_unknown_run_state(refusal)),
+        JobReply::OverQuota => {
+            let detail =
+                "an earlier owner may have stored the job, and the present one has no room for it";
+            JobReply::Refused(Refusal::unknown(RefusalReason::LinkFailed, detail))
+        }
+        JobReply::Accepted
+        | JobReply::Ended
+        | JobReply::Taken
+        | JobReply::Page(_)
+        | JobReply::Body(_)
+        | JobReply::NotFound => reply,
+    }
+}
+
 /// Marks the run state of a refusal as unknown, for a call that an earlier attempt may have carried
 /// out.
 fn with_unknown_run_state(refusal: Refusal) -> Refusal {
--- a/crates/mulberry-direct/src/job_handler.rs
+++ b/crates/mulberry-direct/src/job_handler.rs
@@ -38,6 +38,15 @@
 /// milliseconds.
 const READ_MARGIN_MS: u64 = 1_500;
 
+/// What a call on a job leaves behind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallEffect {
+    /// Nothing: it reads.
+    None,
+    /// It stores or ends the job, perhaps later than its caller waits.
+    Lasting,
+}
+
 /// A batch job that a caller submits.
 pub(crate) struct Submission {
     pub(crate) route: Arc<Route>,
@@ -61,7 +70,7 @@
     let call = JobCall::Submit { job: JobId::new(&job), route, host, body, left_ms };
     let call = call.for_account(account.map(|a| a.name.clone()));
     let reply = handler.jobs.call(&call, left_ms).await;
-    write_job_reply(handler, req, &job, reply, true)
+    write_job_reply(handler, req, &job, reply, CallEffect::Lasting)
 }
 
 /// Carries out a request on a job.
@@ -75,15 +84,18 @@
     let is_public = has_public_jobs(&configuration, host_without_port(req));
     let account = authenticate(&handler.shared, &configuration, is_public, req)?;
     let wait_ms = parse_number_header(req, &names.wait_ms).unwrap_or(0);
-    let (job, call) = match request {
+    let (job, call, effect) = match request {
         JobRequest::Results { job, after } => {
-            (job.clone(), JobCall::Read { job: JobId::new(&job), after, wait_ms })
+            let call = JobCall::Read { job: JobId::new(&job), after, wait_ms };
+            (job, call, CallEffect::None)
         }
         JobRequest::ItemBody { job, item } => {
-            (job.clone(), JobCall::ItemBody { job: JobId::new(&job), item })
+            let call = JobCall::ItemBody { job: JobId::new(&job), item };
+            (job, call, CallEffect::None)
         }
         JobRequest::End { job } => {
-            (job.clone(), JobCall::End { job: JobId::new(&job), left_ms: SUBMIT_TIMEOUT_MS })
+            let call = JobCall::End { job: JobId::new(&job), left_ms: SUBMIT_TIMEOUT_MS };
+            (job, call, CallEffect::Lasting)
         }
     };
     let call = call.for_account(account.as_ref().map(|a| a.name.clone()));
@@ -91,7 +103,7 @@
     require_time(&handler.shared, handler.shared.clock.now() + longest_ms)?;
     let reply = handler.jobs.call(&call, longest_ms).await;
     authenticate_again(&handler.shared, &configuration, is_public, req, account)?;
-    Ok(write_job_reply(handler, req, &job, reply, false))
+    Ok(write_job_reply(handler, req, &job, reply, effect))
 }
 
 fn write_job_reply(
@@ -99,7 +111,7 @@
     req: &HttpRequest,
     job: &str,
     reply: JobReply,
-    is_submission: bool,
+    effect: CallEffect,
 ) -> HttpResponse {
     let shared = &handler.shared;
     match reply {
@@ -128,7 +140,7 @@
                 run = refusal.run.as_str(),
                 detail = refusal.detail
             );
-            let unknown = is_submission && refusal.run != RunState::NotRun;
+            let unknown = effect == CallEffect::Lasting && refusal.run != RunState::NotRun;
             let status = match refusal.reason {
                 RefusalReason::Malformed => 400,
                 RefusalReason::Conflict => 409,
--- a/crates/mulberry-direct/src/owner/read.rs
+++ b/crates/mulberry-direct/src/owner/read.rs
@@ -14,6 +14,7 @@
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
+use mulberry_protocol::refusal::RunState;
 
 use crate::dialect::Dialect;
 use crate::job_calls::JobReply;
@@ -104,7 +105,8 @@
         {
             let mut state = owner.state.borrow_mut();
             let Some(log) = state.jobs.get_mut(job) else {
-                return JobReply::Refused(not_owner());
+                // The end may be among the writes of an owner that has lost the lease meanwhile.
+                return JobReply::Refused(Refusal { run: RunState::Unknown, ..not_owner() });
             };
             if log.is_ended() {
                 break;
@@ -112,8 +114,8 @@
             log.request_end();
         }
         if owner.now() >= until {
-            let detail = "the end is not stored";
-            let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, detail);
+            let detail = "the end is not stored yet";
+            let refusal = Refusal::unknown(RefusalReason::StoreUnavailable, detail);
             return JobReply::Refused(refusal);
         }
         tokio::time::sleep(Duration::from_millis(END_POLL_INTERVAL_MS)).await;
