A second submission of a job is not refused for the tokens of the first one

What callers saw: of two submissions of one job that waited for the lease together, one got 202 and the other 429, which promises that no part of the job runs.

Cause: whether the job is known was asked before the wait for the lease, and not after it. The second submission counted the first one's tokens against the quota.

Evidence: second_submission_of_a_job_is_not_refused_for_the_first_one (jobs.rs) got [202, 429] before, and 202 twice after the change.

Change: the job is looked up again after the wait, and nothing is waited for from there to the record of the submission.

--- a/crates/mulberry-direct/src/owner/submit.rs
+++ b/crates/mulberry-direct/src/owner/submit.rs
@@ -71,9 +71,17 @@
         Ok(items) => items,
         Err(e) => return refuse(Refusal::not_run(RefusalReason::Malformed, e.to_string())),
     };
-    if !wait_for_exclusive_lease(owner, until).await {
-        let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, "the lease is not certain");
-        return refuse(refusal.retry_after(RETRY_AFTER_MS));
+    while !owner.state.borrow().lease.is_exclusive(owner.now()) {
+        if !wait_for_exclusive_lease(owner, until).await {
+            let detail = "the lease is not certain";
+            let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, detail);
+            return refuse(refusal.retry_after(RETRY_AFTER_MS));
+        }
+        // Another submission of the job may have begun meanwhile. From here to the record of this one,
+        // nothing is waited for.
+        if let Some(reply) = reply_if_known(owner, &req.job, req.account.as_ref(), until).await {
+            return reply;
+        }
     }
     let tokens: u64 = items.iter().map(|i| i.tokens).sum();
     let route: Arc<str> = Arc::from(req.route.as_str());
