Interim responses and tiny chunks without end are cut by the entry, long before the deadline

What callers saw: no answer until the deadline where an endpoint sends interim responses (100, 103) again and again, or a body in chunks of one byte, and an entry whose traffic thread works on it all the while.

Cause: bytes were bounded, the work was not. The HTTP client bounds each head, but not the number of heads before the final one; a body was bounded by its bytes, whatever the parts.

--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -32,6 +32,8 @@
 use mulberry_policy::response_match::MAX_FAILED_REQUESTS;
 use mulberry_protocol::closed_set;
 
+use crate::endpoint_stream::EndpointStream;
+use crate::endpoint_stream::HeadBudget;
 use crate::holds::HoldGuard;
 use crate::holds::HoldLog;
 use crate::silence::SilenceLog;
@@ -94,6 +96,7 @@
         let io_error = error.source().and_then(|s| s.downcast_ref::<std::io::Error>());
         match io_error.map(std::io::Error::kind) {
             Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable) => BreakCause::Silent,
+            Some(ErrorKind::InvalidData) => BreakCause::Invalid,
             _ if error.is_parse() => BreakCause::Invalid,
             _ => BreakCause::Ended,
         }
@@ -140,6 +143,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: CloseOnDrop,
+    head: HeadBudget,
     reused: bool,
     /// Whether a response has arrived.
     is_answered: bool,
@@ -156,7 +160,9 @@
         let connected = connecting.unwrap_or(Err(ErrorKind::TimedOut.into()));
         let stream = connected.map_err(failed)?;
         set_socket_options(&stream).map_err(failed)?;
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let head = HeadBudget::default();
+        let stream = TokioIo::new(EndpointStream::new(stream, head.clone()));
+        let handshake = hyper::client::conn::http1::handshake(stream).await;
         let (sender, connection) = handshake.map_err(|source| SendError::Broken { source })?;
         let guard = HoldGuard::new(log, address);
         let for_task = guard.clone();
@@ -166,7 +172,7 @@
             for_task.end();
         });
         let driver = CloseOnDrop { task, guard };
-        Ok(Self { sender, driver, reused: false, is_answered: false, failed: Vec::new() })
+        Ok(Self { sender, driver, head, reused: false, is_answered: false, failed: Vec::new() })
     }
 
     /// Records that the other end closes the connection after its response.
@@ -197,7 +203,10 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        match self.sender.try_send_request(req).await {
+        self.head.begin();
+        let sent = self.sender.try_send_request(req).await;
+        self.head.end();
+        match sent {
             Ok(response) => Ok(response),
             Err(mut e) => match e.take_message() {
                 Some(_unsent) => Err(SendError::NotSent),
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -36,6 +36,10 @@
 /// Maximum number of closed idle connections that one exchange replaces by another connection.
 const MAX_STALE_CONNECTIONS: u32 = 3;
 
+/// Most parts of a body that is read whole. Parts of a byte each would take the processor for far longer than
+/// as many bytes in large ones.
+const MAX_BODY_PARTS: u32 = 100_000;
+
 /// Why an exchange with an endpoint failed.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -146,17 +150,23 @@
         let mut buffered = self.pool.count_buffered();
         let mut has_room = buffered.add(first.len());
         let mut whole = BytesMut::from(first);
+        let mut parts = 1;
         while let Some(chunk) = self.next_chunk().await? {
             has_room &= buffered.add(chunk.len());
             whole.extend_from_slice(&chunk);
-            if whole.len() > max_bytes || !has_room {
-                self.connection = None;
-                let detail = match has_room {
-                    true => format!("the response body exceeds {max_bytes} bytes"),
-                    false => "too many response bodies are too long".to_owned(),
-                };
-                return Err(ExchangeError::invalid(detail));
-            }
+            parts += 1;
+            let detail = match has_room {
+                false => "too many response bodies are too long".to_owned(),
+                true if whole.len() > max_bytes => {
+                    format!("the response body exceeds {max_bytes} bytes")
+                }
+                true if parts > MAX_BODY_PARTS => {
+                    format!("the response body has more than {MAX_BODY_PARTS} parts")
+                }
+                true => continue,
+            };
+            self.connection = None;
+            return Err(ExchangeError::invalid(detail));
         }
         Ok(whole.freeze())
     }
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod dialect;
 pub mod drain_gate;
 pub mod endpoint_notice;
+mod endpoint_stream;
 pub mod entry;
 pub mod exchange;
 pub mod fair_share;
