An entry asks the store before it takes a version for the only one (ORDER)

What callers saw: events of two software versions in one stream.

Cause: a stream whose origin nobody remembers goes on if its service has run one version only for 60 s, and is still said to after 0.7 s. An entry learns only from its pending watch, 1.2 to 2.3 s after the cut, that it hears nothing.

Change: before it takes a version for the only one, the entry has the pending watch sent again, at most four times a second, and refuses the stream if the store has not answered a call that was made since. direct.endpoints_asked and direct.endpoints_unconfirmed count it.

--- a/crates/mulberry-direct/src/continuation.rs
+++ b/crates/mulberry-direct/src/continuation.rs
@@ -55,11 +55,14 @@
     }
 
     /// Returns the origin of every stream of the route that can still be taken up, if its service has run
-    /// one version only for as long as any caller may wait. What is registered now is known here some
-    /// time later, so that it has to be the only version until then.
+    /// one version only for as long as any caller may wait. What runs now is registered some time later, so
+    /// that it has to be the only version until the store says so from then on.
     async fn only_origin(&self, req: &CallerRequest) -> Option<StreamOrigin> {
         let likely = self.only_version(req)?;
         tokio::time::sleep(Duration::from_millis(REGISTRATION_LAG_MS)).await;
+        if !self.shared.confirm_endpoints(self.shared.clock.now()).await {
+            return None;
+        }
         self.only_version(req).filter(|origin| *origin == likely)
     }
 
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod crashes;
 pub mod dialect;
 pub mod drain_gate;
+pub mod endpoint_confirmation;
 pub mod endpoint_notice;
 mod endpoint_stream;
 pub mod entry;
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -56,6 +56,7 @@
 use crate::confirmation::Confirmation;
 use crate::dialect::Dialect;
 use crate::drain_gate::DrainGate;
+use crate::endpoint_confirmation::EndpointConfirmation;
 use crate::endpoint_notice::EndpointNotice;
 use crate::fair_share::FairShareDesk;
 use crate::limits::LimitDesk;
@@ -113,6 +114,7 @@
     occupancy: Mutex<Occupancy>,
     account_usages: Mutex<AccountUsages>,
     pub(crate) confirmation: Confirmation,
+    pub(crate) endpoint_confirmation: EndpointConfirmation,
     pub(crate) account_labels: AccountLabels,
     ejector: Mutex<Ejector>,
     leaving: Mutex<LeavingEndpoints>,
@@ -181,6 +183,7 @@
             occupancy: Mutex::default(),
             account_usages: Mutex::default(),
             confirmation: Confirmation::default(),
+            endpoint_confirmation: EndpointConfirmation::default(),
             account_labels: AccountLabels::default(),
             ejector: Mutex::default(),
             leaving: Mutex::default(),
@@ -330,6 +333,7 @@
                 version = report.known.version, own_version = own.version,
                 endpoints = report.known.endpoints, own_endpoints = own.endpoints, returns = report.recoveries);
             self.renewals.send_modify(|number| *number += 1);
+            self.endpoint_confirmation.renewals.send_modify(|number| *number += 1);
         }
     }
 
--- a/crates/mulberry-direct/src/store_watch.rs
+++ b/crates/mulberry-direct/src/store_watch.rs
@@ -340,12 +340,7 @@
             let left_ms = next_expiry.map(|at| at.since(shared.clock.now()).max(1));
             let pause_ms = left_ms.map_or(EXPIRY_INTERVAL_MS, |ms| ms.min(EXPIRY_INTERVAL_MS));
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            let now = shared.clock.now();
-            let was_stale = shared.endpoints_stale_ms() > 0;
-            shared.set_endpoints_stale_since(registry.borrow().stale_since(now));
-            if was_stale && shared.endpoints_stale_ms() == 0 {
-                publish(&shared, &registry.borrow());
-            }
+            update_staleness(&shared, &registry.borrow());
             let due = registry.borrow().next_expiry().is_some_and(|at| at <= shared.clock.now());
             if due && registry.borrow_mut().expire(shared.clock.now()) {
                 publish(&shared, &registry.borrow());
@@ -353,7 +348,7 @@
         }
     };
     let prefix = shared.dialect.endpoint_prefix();
-    let renewals = shared.renewals.subscribe();
+    let renewals = shared.endpoint_confirmation.renewals.subscribe();
     let pace = WatchPace {
         wait_ms: shared.settings.endpoint_wait_ms,
         coalesce_ms: COALESCE_DELAY_MS,
@@ -376,15 +371,18 @@
             *registry = EndpointRegistry::default();
             return;
         }
-        StoreChange::Asking => return,
-        StoreChange::UpTo(revision) => return shared.record_endpoints_known(revision),
+        StoreChange::Asking => return shared.endpoint_confirmation.calls.record_call(now),
+        StoreChange::UpTo(revision) => {
+            shared.endpoint_confirmation.calls.record_answer();
+            return shared.record_endpoints_known(revision);
+        }
         StoreChange::Failed => {
             registry.record_store_failure(now);
-            return shared.set_endpoints_stale_since(registry.stale_since(now));
+            return update_staleness(shared, registry);
         }
         StoreChange::Unchanged => {
             registry.record_store_response(now);
-            return shared.set_endpoints_stale_since(registry.stale_since(now));
+            return update_staleness(shared, registry);
         }
         StoreChange::Listed(objects) => {
             registry.record_store_response(now);
@@ -414,6 +412,15 @@
     publish(shared, registry);
 }
 
+/// Records whether changes of endpoints may have been missed. Once none may, what is known counts again.
+fn update_staleness(shared: &SharedState, registry: &EndpointRegistry) {
+    let was_stale = shared.endpoints_stale_ms() > 0;
+    shared.set_endpoints_stale_since(registry.stale_since(shared.clock.now()));
+    if was_stale && shared.endpoints_stale_ms() == 0 {
+        publish(shared, registry);
+    }
+}
+
 fn log_kept(kept: &[KeptEndpoint], now: Millis) {
     for KeptEndpoint { name, until, cause } in kept {
         log_event!(info, Event::EndpointMissing, endpoint = %name, left_ms = until.since(now),
