A version counts as certain only once the store was asked after the connection was opened (ORDER)

What callers saw: events of two versions in one stream. An endpoint was back as another version at its address; an entry without the store took it for the old one, told its peers so, and the stream went on at an old one elsewhere.

Cause: the same as before: that a registration is known 0.7 s later holds only while the store answers. Time in which nothing could be heard made the entry certain.

Change: certainty counts from the last call to the store that was answered, for entries, for the choice and for items of owners. A first form settled too late for streams whose entries are killed (rejoined.rs failed); so the store is asked at once where several versions run and a stream's origin waits for it, or a peer asks. One version only, as in calm: no further calls.

--- a/crates/mulberry-direct/src/endpoint_confirmation.rs
+++ b/crates/mulberry-direct/src/endpoint_confirmation.rs
@@ -21,6 +21,9 @@
 /// The same if the last one was not answered: a slow store is not asked anew while it works on the answer.
 const UNANSWERED_ASK_INTERVAL_MS: u64 = 1_000;
 
+/// Time for which nothing is known of endpoints before the first answer, in milliseconds.
+const NEVER_CONFIRMED_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Interval at which a waiting request looks for the answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -45,6 +48,15 @@
 }
 
 impl SharedState {
+    /// Returns for how long changes of endpoints may not be known here, in milliseconds: since the store was
+    /// asked for those that it has told last.
+    pub(crate) fn endpoints_unconfirmed_ms(&self) -> u64 {
+        let confirmed_at = self.endpoint_confirmation.calls.confirmed_at();
+        let unconfirmed_ms =
+            confirmed_at.map_or(NEVER_CONFIRMED_MS, |at| self.clock.now().since(at));
+        unconfirmed_ms.max(self.endpoints_stale_ms())
+    }
+
     /// Waits until all changes of endpoints up to `since` are known, for which the store is asked. Returns
     /// false if it does not answer in time, or is known to be away.
     pub(crate) async fn confirm_endpoints(&self, since: Millis) -> bool {
--- a/crates/mulberry-direct/src/origins.rs
+++ b/crates/mulberry-direct/src/origins.rs
@@ -27,6 +27,7 @@
 use mulberry_protocol::stream_origin::StreamMessage;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::stream_origin::encode_stream_message;
+use mulberry_protocol::time::Millis;
 
 use crate::connection::ConnectionPool;
 use crate::shared::Peer;
@@ -48,6 +49,13 @@
 /// Longest time for which an origin that is not certain yet is waited for, in milliseconds.
 const MAX_PENDING_MS: u64 = 1_000;
 
+/// Interval at which a stream that has begun looks whether its origin is certain, in milliseconds.
+const CERTAINTY_POLL_MS: u64 = 100;
+
+/// Time after which an origin that is not certain is given up, in milliseconds: two watches of endpoints have
+/// been answered by then.
+const MAX_UNCERTAIN_MS: u64 = 10_000;
+
 /// What this process knows of the origins of streams, and its open questions to others.
 #[derive(Debug, Default)]
 pub struct OriginDesk {
@@ -74,8 +82,7 @@
     loop {
         let held_ms = pool.held_ms(endpoint.address);
         let held_ms = held_ms.ok_or_else(|| not_ready("the endpoint ended its connections"))?;
-        let stale_ms = shared.endpoints_stale_ms();
-        let wait_ms = certain_in_ms(held_ms, stale_ms);
+        let wait_ms = certain_in_ms(held_ms, shared.endpoints_unconfirmed_ms());
         if !shared.is_current_record(endpoint) {
             return Err(not_ready("the endpoint has restarted or is gone"));
         }
@@ -85,9 +92,12 @@
         if wait_ms == 0 {
             return Ok(held_ms);
         }
-        if stale_ms > 0 {
+        if shared.endpoints_stale_ms() > 0 {
             return Err(not_ready("the endpoint's version may be out of date"));
         }
+        if certain_in_ms(held_ms, 0) == 0 {
+            shared.ask_for_endpoints();
+        }
         tokio::time::sleep(Duration::from_millis(wait_ms.min(END_NOTICE_MS))).await;
     }
 }
@@ -111,15 +121,14 @@
     /// soon as the endpoint's version is certain. `held_ms` is how long connections to it had been held
     /// when the request was sent.
     pub fn begin_stream(self: &Arc<Self>, stream: u64, endpoint: &EndpointRecord, held_ms: u64) {
-        let wait_ms = certain_in_ms(held_ms, self.endpoints_stale_ms());
-        if wait_ms == 0 && self.is_current_record(endpoint) {
+        if self.certain_in(held_ms) == 0 && self.is_current_record(endpoint) {
             return self.settle_stream(stream, origin_of(endpoint));
         }
-        self.origins().begin(stream, origin_of(endpoint), self.clock.now());
+        let began = self.clock.now();
+        self.origins().begin(stream, origin_of(endpoint), began);
         let (shared, endpoint) = (self.clone(), endpoint.clone());
         actix_rt::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-            if shared.endpoints_stale_ms() == 0 && shared.is_current_record(&endpoint) {
+            if shared.becomes_certain(&endpoint, held_ms, began).await {
                 shared.settle_stream(stream, origin_of(&endpoint));
             } else {
                 shared.metrics.count("direct.origins_uncertain");
@@ -128,6 +137,43 @@
         });
     }
 
+    /// Returns the time after which the process that answered on a connection, held for `held_ms` now, is certain
+    /// to be the registered one, in milliseconds.
+    pub(crate) fn certain_in(&self, held_ms: u64) -> u64 {
+        certain_in_ms(held_ms, self.endpoints_unconfirmed_ms())
+    }
+
+    /// Waits until it is certain which process an endpoint was that answered at `began`, on a connection that had
+    /// been held for `held_ms`. Returns false if it is not known to be that of the record.
+    async fn becomes_certain(
+        &self,
+        endpoint: &EndpointRecord,
+        held_ms: u64,
+        began: Millis,
+    ) -> bool {
+        loop {
+            let waited_ms = self.clock.now().since(began);
+            let is_known = self.endpoints_stale_ms() == 0 && self.is_current_record(endpoint);
+            if !is_known || waited_ms > MAX_UNCERTAIN_MS {
+                return false;
+            }
+            let wait_ms = self.certain_in(held_ms + waited_ms);
+            if wait_ms == 0 {
+                return true;
+            }
+            // Where a service runs one version only, nobody needs the origin for as long as that is so.
+            if certain_in_ms(held_ms + waited_ms, 0) == 0 && !self.runs_one_version(endpoint) {
+                self.ask_for_endpoints();
+            }
+            tokio::time::sleep(Duration::from_millis(wait_ms.min(CERTAINTY_POLL_MS))).await;
+        }
+    }
+
+    fn runs_one_version(&self, endpoint: &EndpointRecord) -> bool {
+        let now = self.clock.now();
+        self.version_history().only_version(&endpoint.service, 0, now).is_some()
+    }
+
     fn settle_stream(&self, stream: u64, origin: StreamOrigin) {
         self.origins().record(stream, origin.clone(), self.clock.now());
         let peers = self.ranked_peers(stream);
@@ -142,7 +188,7 @@
             match self.origins().find(stream) {
                 OriginAnswer::Known(origin) => return Some(origin),
                 OriginAnswer::Unknown => return None,
-                OriginAnswer::Pending(_) => {}
+                OriginAnswer::Pending(_) => self.ask_for_endpoints(),
             }
             if self.clock.now().since(began) >= MAX_PENDING_MS {
                 return None;
@@ -198,7 +244,10 @@
             let own = self.origins().find(stream);
             match &own {
                 OriginAnswer::Known(origin) => return Some(origin.clone()),
-                OriginAnswer::Pending(likely) => on_likely(likely),
+                OriginAnswer::Pending(likely) => {
+                    self.ask_for_endpoints();
+                    on_likely(likely);
+                }
                 OriginAnswer::Unknown => {}
             }
             let mut peers = self.ranked_peers(stream);
@@ -258,6 +307,9 @@
             }
             StreamMessage::Ask { stream, question, reply_to } => {
                 let answer = self.origins().find(stream);
+                if let OriginAnswer::Pending(_) = answer {
+                    self.ask_for_endpoints();
+                }
                 self.send_stream_message(&[reply_to], &StreamMessage::Answer { question, answer });
             }
             StreamMessage::Answer { question, answer } => {
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -65,8 +65,8 @@
     /// Number of failed runs after which the item is given up.
     pub(crate) max_failed: u32,
     pub(crate) generation: u64,
-    /// When it is certain which version runs the item; `None` if that was certain when it was sent.
-    pub(crate) certain_at: Cell<Option<Millis>>,
+    /// Since when the connection had been held on which the endpoint answered; `None` before it did.
+    pub(crate) held_since: Cell<Option<Millis>>,
 }
 
 /// Runs an item and records how the run ended.
@@ -171,9 +171,7 @@
             return Err(ExchangeError::invalid(format!("unexpected status {status}")));
         }
     }
-    let stale_ms = owner.shared.endpoints_stale_ms();
-    let wait_ms = certain_in_ms(response.held_ms, stale_ms);
-    spec.certain_at.set((wait_ms > 0).then(|| owner.now() + wait_ms));
+    spec.held_since.set(Some(owner.now() - response.held_ms));
     let mut parser = SseParser::default();
     let mut end = StreamEnd::default();
     while let Some(chunk) = with_read_timeout(response.next_chunk()).await? {
@@ -220,11 +218,9 @@
 
 /// Returns whether it is certain that the item's endpoint is the registered one.
 fn is_origin_certain(owner: &Owner, spec: &RunSpec) -> bool {
-    let is_known = spec
-        .certain_at
-        .get()
-        .is_none_or(|at| at <= owner.now() && owner.shared.endpoints_stale_ms() == 0);
-    is_known && owner.shared.is_current_record(&spec.endpoint)
+    let Some(held_since) = spec.held_since.get() else { return false };
+    let held_ms = owner.now().since(held_since);
+    owner.shared.certain_in(held_ms) == 0 && owner.shared.is_current_record(&spec.endpoint)
 }
 
 /// Waits until it is certain which version wrote the output of a run that broke, so that the item can
@@ -239,8 +235,11 @@
     if is_settled {
         return;
     }
-    if let Some(at) = spec.certain_at.get() {
-        tokio::time::sleep(Duration::from_millis(at.since(owner.now()))).await;
+    if let Some(held_since) = spec.held_since.get() {
+        let held_ms = owner.now().since(held_since);
+        let wait_ms = certain_in_ms(held_ms, 0);
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        let _in_time = owner.shared.confirm_endpoints(owner.now()).await;
     }
     if !owner.is_current(spec.generation) || !is_origin_certain(owner, spec) {
         return;
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -271,7 +271,7 @@
         last_event: item.progress.last_event,
         max_failed,
         generation,
-        certain_at: Cell::new(None),
+        held_since: Cell::new(None),
     };
     let endpoint = endpoint.load_key();
     state.last_endpoints.insert(key.clone(), endpoint);
