Reads of jobs with the longest wait are answered

What callers saw: a read with a Wait-Ms near the largest number got no answer in a build that checks sums, and too short a wait in others. Cause: the sum of the wait and the margin overflowed.

--- a/crates/mulberry-direct/src/job_handler.rs
+++ b/crates/mulberry-direct/src/job_handler.rs
@@ -99,7 +99,7 @@
         }
     };
     let call = call.for_account(account.as_ref().map(|a| a.name.clone()));
-    let longest_ms = wait_ms + READ_MARGIN_MS;
+    let longest_ms = wait_ms.saturating_add(READ_MARGIN_MS);
     require_time(&handler.shared, handler.shared.clock.now() + longest_ms)?;
     let reply = handler.jobs.call(&call, longest_ms).await;
     authenticate_again(&handler.shared, &configuration, is_public, req, account)?;
