--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use mulberry_policy::endpoint_continuity::certain_in_ms;
 use mulberry_policy::endpoint_limits::EndpointLimits;
 use mulberry_policy::expected_wait::EndpointView;
 use mulberry_policy::expected_wait::ReportQuality;
@@ -233,9 +234,10 @@
 
     /// Marks the endpoints whose version would have to be waited for longest, if there are others.
     fn prefer_held(&self, choices: &mut Choices) {
+        let unconfirmed_ms = self.shared.endpoints_unconfirmed_ms();
         let wait_ms = |position: usize| {
             let held_ms = self.pool.held_ms(choices.endpoint(position).address).unwrap_or(0);
-            self.shared.certain_in(held_ms)
+            certain_in_ms(held_ms, unconfirmed_ms)
         };
         let waits: Vec<u64> = (0..choices.usable.len()).map(wait_ms).collect();
         let usable_waits = choices.candidates.iter().zip(&waits).filter(|(c, _)| !c.avoid);
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -172,6 +172,7 @@
         }
     }
     spec.held_since.set(Some(owner.now() - response.held_ms));
+    let mut is_certain = false;
     let mut parser = SseParser::default();
     let mut end = StreamEnd::default();
     while let Some(chunk) = with_read_timeout(response.next_chunk()).await? {
@@ -180,7 +181,7 @@
             return Err(ExchangeError::invalid("an event does not end"));
         }
         let events = parser.push(&chunk);
-        let is_certain = is_origin_certain(owner, spec);
+        is_certain = is_certain || is_origin_certain(owner, spec);
         let mut state = owner.state.borrow_mut();
         let log = state.jobs.get_mut(&spec.key.0);
         let Some(item) = log.and_then(|l| l.item_mut(spec.key.1)) else {
