--- a/crates/mulberry-direct/src/caller_request.rs
+++ b/crates/mulberry-direct/src/caller_request.rs
@@ -44,8 +44,6 @@
     pub body: Bytes,
     /// Deadline of the response.
     pub due: Millis,
-    /// Whether the caller is retrying after a refusal, which raises the queue limit of endpoints.
-    pub is_retry: bool,
     /// ID of the request that brought the first event of the stream which the caller takes up.
     pub resumes: Option<Arc<str>>,
     /// Whether the caller has events of an earlier run, behind which this one is to continue.
--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -167,8 +167,8 @@
         for ((position, endpoint), slowness) in ready.into_iter().zip(slowness) {
             let key = endpoint.load_key();
             let load = occupancy.total_load(key, now);
-            let (slots, is_retry) = (endpoint.slots, req.is_retry);
-            let max = queue_limits.max_online_at(service, slots, target_ms, is_retry, slowness);
+            let slots = endpoint.slots;
+            let max = queue_limits.max_online_at(service, slots, target_ms, slowness);
             if load.online >= max {
                 continue;
             }
--- a/crates/mulberry-direct/src/fair_share.rs
+++ b/crates/mulberry-direct/src/fair_share.rs
@@ -298,7 +298,7 @@
             e.service == *service && e.state == EndpointState::Ready && !leaving.is_leaving(e)
         };
         for endpoint in endpoints.values().filter(|e| is_ready(e)) {
-            let places = queue_limits.max_online(service, endpoint.slots, target_ms, false);
+            let places = queue_limits.max_online(service, endpoint.slots, target_ms);
             room.slots = room.slots.saturating_add(endpoint.slots);
             room.places = room.places.saturating_add(places);
         }
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -158,7 +158,6 @@
     let due = started + longest_ms;
     // The body may have come for a long time, and the process may stop meanwhile.
     require_time(shared, due)?;
-    let is_retry = shared.queue_limits().detect_retry(&route.name, deadline_ms);
     let method = convert_method(req)?;
     let target = req.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
     let host = host_without_port(req);
@@ -182,7 +181,6 @@
         request_id,
         body,
         due,
-        is_retry,
         resumes: text_header(req, &shared.dialect.headers().resumes),
         last_event: parse_number_header(req, &shared.dialect.headers().last_event_id),
         is_continued: req.headers().contains_key(shared.dialect.headers().last_event_id.as_str()),
--- a/crates/mulberry-policy/src/queue_limit.rs
+++ b/crates/mulberry-policy/src/queue_limit.rs
@@ -2,8 +2,8 @@
 //! latency target.
 //!
 //! Beyond what an endpoint runs at once, each further request waits for one to end. Requests that
-//! would wait longer than their target allows are refused at once and told when to retry. A part of
-//! the target is reserved for retries, so that they are accepted before first attempts.
+//! would wait longer than their target allows are refused at once and told when to retry. Nobody is
+//! asked whether a request is the first try: with as much time left, each has the same chance.
 
 use indexmap::IndexMap;
 
@@ -17,16 +17,8 @@
 /// queue.
 const FIRST_PART_WEIGHT: f64 = 0.005;
 
-/// Share of the target that a first attempt may spend until the first part of its response.
-const FIRST_ATTEMPT_TARGET_SHARE: f64 = 0.7;
-
-/// The same share for retries of refused requests, which are thereby preferred.
-const RETRY_TARGET_SHARE: f64 = 1.0;
-
-/// Share of the longest deadline seen on a route below which a request counts as a retry. A retry
-/// has a shorter deadline since part of its time was spent before it; transit alone shortens it
-/// less.
-const RETRY_DEADLINE_SHARE: f64 = 0.93;
+/// Share of the target that a request may spend until the first part of its response.
+const TARGET_SHARE: f64 = 0.7;
 
 /// Shortest and longest time after which a refused caller is told to retry, in milliseconds.
 const RETRY_AFTER_MS: (u32, u32) = (250, 1_600);
@@ -40,12 +32,10 @@
     run_ms: f64,
 }
 
-/// The timing of services and the deadlines of routes, as measured by one process.
+/// The timing of services, as measured by one process.
 #[derive(Debug, Default)]
 pub struct QueueLimits {
     timings: IndexMap<ServiceName, ServiceTiming>,
-    /// Longest deadline seen on each route, in milliseconds.
-    deadlines: IndexMap<String, u64>,
 }
 
 impl QueueLimits {
@@ -76,31 +66,10 @@
         (!self.timings.is_empty()).then(|| sum / self.timings.len() as f64)
     }
 
-    /// Records a request's deadline and returns whether the request counts as a retry of a refused
-    /// one.
-    pub fn detect_retry(&mut self, route: &str, deadline_ms: u64) -> bool {
-        match self.deadlines.get_mut(route) {
-            Some(longest) => {
-                *longest = (*longest).max(deadline_ms);
-                (deadline_ms as f64) < *longest as f64 * RETRY_DEADLINE_SHARE
-            }
-            None => {
-                self.deadlines.insert(route.to_owned(), deadline_ms);
-                false
-            }
-        }
-    }
-
     /// Returns the most online requests that an endpoint may have running and waiting, a new one
     /// included.
-    pub fn max_online(
-        &self,
-        service: &ServiceName,
-        slots: u32,
-        target_ms: u64,
-        is_retry: bool,
-    ) -> u32 {
-        self.max_online_at(service, slots, target_ms, is_retry, 1.0)
+    pub fn max_online(&self, service: &ServiceName, slots: u32, target_ms: u64) -> u32 {
+        self.max_online_at(service, slots, target_ms, 1.0)
     }
 
     /// Returns the same for an endpoint that takes `slowness` times as long as the others.
@@ -109,12 +78,10 @@
         service: &ServiceName,
         slots: u32,
         target_ms: u64,
-        is_retry: bool,
         slowness: f64,
     ) -> u32 {
         let Some(timing) = self.timings.get(service) else { return u32::MAX };
-        let share = if is_retry { RETRY_TARGET_SHARE } else { FIRST_ATTEMPT_TARGET_SHARE };
-        let max_wait_ms = target_ms as f64 * share - timing.first_ms * slowness;
+        let max_wait_ms = target_ms as f64 * TARGET_SHARE - timing.first_ms * slowness;
         // With all slots busy, one run ends in each such interval on average.
         let end_interval_ms = (timing.run_ms * slowness / f64::from(slots.max(1))).max(1.0);
         slots + (max_wait_ms / end_interval_ms).clamp(0.0, f64::from(slots) * 4.0) as u32
