--- a/crates/mulberry-direct/src/accounts.rs
+++ b/crates/mulberry-direct/src/accounts.rs
@@ -9,6 +9,8 @@
 
 use mulberry_protocol::account::ClientAccount;
 use mulberry_protocol::account::single_key;
+use mulberry_protocol::auth::key_digest;
+use mulberry_protocol::digest::Digest;
 use mulberry_protocol::name::ClientName;
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
@@ -16,6 +18,7 @@
 use mulberry_protocol::route::Route;
 use mulberry_protocol::route::RouteKind;
 
+use crate::caller_request::CallerRequest;
 use crate::dialect::HeaderNames;
 use crate::shared::SharedState;
 
@@ -92,6 +95,35 @@
     }
 }
 
+/// Returns the digest of the key that a request of an account has.
+pub fn used_key(
+    shared: &SharedState,
+    req: &HttpRequest,
+    account: Option<&ClientAccount>,
+) -> Option<Digest> {
+    account?;
+    let name = shared.dialect.headers().api_key.as_str();
+    single_key(req.headers().get_all(name).map(|v| v.as_bytes())).ok().map(key_digest)
+}
+
+/// Refuses a request whose key was removed while it waited for an endpoint.
+pub fn require_key(shared: &SharedState, req: &CallerRequest) -> Result<(), Refusal> {
+    let (Some(account), Some(key)) = (&req.account, &req.key) else { return Ok(()) };
+    ensure_confirmed(shared, req.route.is_public)?;
+    let configuration = shared.configuration.load();
+    let Some(now) = configuration.as_ref().filter(|c| c.version != req.version) else {
+        return Ok(());
+    };
+    let holder = now.accounts.as_ref().and_then(|accounts| accounts.with_digest(key));
+    if holder.is_some_and(|holder| holder.name == account.name) {
+        return Ok(());
+    }
+    let version = now.version;
+    let detail =
+        format!("configuration version {version} has no account with the API key any more");
+    Err(Refusal::not_run(RefusalReason::KeyUnknown, detail))
+}
+
 /// Removes the key from the headers for an endpoint, and sets the account's name whatever the caller sent
 /// there.
 pub fn set_account(
--- a/crates/mulberry-direct/src/caller_request.rs
+++ b/crates/mulberry-direct/src/caller_request.rs
@@ -10,6 +10,7 @@
 
 use mulberry_policy::crash_suspects::RequestKeys;
 use mulberry_protocol::account::ClientAccount;
+use mulberry_protocol::digest::Digest;
 use mulberry_protocol::route::Route;
 use mulberry_protocol::time::Millis;
 
@@ -22,6 +23,8 @@
     pub route: Arc<Route>,
     /// The client account whose key came with it, if there is one.
     pub account: Option<Arc<ClientAccount>>,
+    /// Digest of that key.
+    pub key: Option<Digest>,
     /// Priority of the account or, without one, of the route; zero is the most urgent.
     pub priority: u32,
     /// Version of the configuration that defines the route.
@@ -44,6 +47,8 @@
     pub body: Bytes,
     /// Deadline of the response.
     pub due: Millis,
+    /// When its head had been read.
+    pub came_at: Millis,
     /// ID of the request that brought the first event of the stream which the caller takes up.
     pub resumes: Option<Arc<str>>,
     /// Whether the caller has events of an earlier run, behind which this one is to continue.
--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -9,8 +9,9 @@
 use mulberry_policy::expected_wait::EndpointView;
 use mulberry_policy::expected_wait::ReportQuality;
 use mulberry_policy::expected_wait::choose_by_wait;
-use mulberry_policy::queue_limit::retry_after_ms;
+use mulberry_policy::occupancy::Load;
 use mulberry_policy::routing::COLD_WAIT_MS;
+use mulberry_policy::waiting_line::return_after_ms;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::endpoint::EndpointState;
 use mulberry_protocol::limit::PermitClass;
@@ -23,9 +24,8 @@
 use crate::caller_request::CallerRequest;
 use crate::relay::Relay;
 use crate::shared::Endpoints;
-
-/// `Retry-After` of requests that are refused because no endpoint is ready, in milliseconds.
-const RETRY_AFTER_MS: u32 = 400;
+use crate::waiting::LOOK_INTERVAL;
+use crate::waiting::Turn;
 
 /// Most questions for permits that one choice waits for.
 const MAX_QUESTIONS: u32 = 3;
@@ -57,27 +57,82 @@
     /// Time until the first of the others may get a request within its limit, in milliseconds, if there
     /// are any.
     limited_ms: Option<u64>,
+    /// Time that is left to the caller, in milliseconds.
+    left_ms: u64,
 }
 
 impl Relay {
-    /// Chooses a ready endpoint that has not been tried, is below its queue limit, and may get a request
-    /// within the limit that it names; of the origin, if the request continues a stream. Returns the
-    /// refusal to send if there is none.
+    /// Chooses a ready endpoint that has not been tried, has room, and may get a request within the limit
+    /// that it names; of the origin, if the request continues a stream. Waits for room as long as the
+    /// request can still be served in its time. Returns the refusal to send if there is none.
     pub async fn choose_within_limits(
         &self,
         req: &CallerRequest,
         tried: &[EndpointName],
         origin: Option<&StreamOrigin>,
+        turn: Turn,
     ) -> Result<EndpointChoice, Refusal> {
         let service = self.pick_service(req, origin)?;
         if tried.is_empty() {
             self.shared.take_fair_place(req, &service)?;
         }
-        let chosen = self.choose_of_service(req, &service, tried, origin).await?;
+        let chosen = match (tried, origin) {
+            ([], None) => self.choose_in_turn(req, &service, turn).await?,
+            _ => self.choose_beside(req, &service, tried, origin).await?,
+        };
         req.place.confirm();
         Ok(chosen)
     }
 
+    /// Chooses an endpoint when it is the request's turn.
+    async fn choose_in_turn(
+        &self,
+        req: &CallerRequest,
+        service: &ServiceName,
+        turn: Turn,
+    ) -> Result<EndpointChoice, Refusal> {
+        if self.shared.is_line_empty(service) {
+            let chosen = self.choose_of_service(req, service, &[], None).await;
+            if !is_without_room(&chosen) {
+                return chosen;
+            }
+        }
+        let waiter = self.shared.join_line(req, service, turn)?;
+        loop {
+            if waiter.is_first() {
+                let chosen = self.choose_of_service(req, service, &[], None).await;
+                if !is_without_room(&chosen) {
+                    return chosen;
+                }
+            }
+            if !waiter.wait().await {
+                return Err(self.shared.refuse_late(req));
+            }
+        }
+    }
+
+    /// Chooses an endpoint for a request that can't go to all of them, beside those that wait: they are not
+    /// to wait behind it while it waits for one that they don't need.
+    async fn choose_beside(
+        &self,
+        req: &CallerRequest,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        origin: Option<&StreamOrigin>,
+    ) -> Result<EndpointChoice, Refusal> {
+        let worth_until = self.shared.worth_until(req, service);
+        loop {
+            let chosen = self.choose_of_service(req, service, tried, origin).await;
+            if !is_without_room(&chosen) {
+                return chosen;
+            }
+            if self.shared.clock.now() >= worth_until {
+                return Err(self.shared.refuse_late(req));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     async fn choose_of_service(
         &self,
         req: &CallerRequest,
@@ -127,6 +182,13 @@
         Ok(self.to_choice(&choices, chosen))
     }
 
+    fn no_endpoint(&self, req: &CallerRequest) -> Refusal {
+        let left_ms = req.due.since(self.shared.clock.now());
+        let detail = "no ready endpoint is left for the route";
+        Refusal::not_run(RefusalReason::NoEndpoint, detail)
+            .retry_after(return_after_ms(left_ms, rand::rng().random()))
+    }
+
     fn pick_service(
         &self,
         req: &CallerRequest,
@@ -136,7 +198,7 @@
             Some(origin) => Some(&origin.service),
             None => req.route.pick_service(rand::rng().random()),
         };
-        picked.cloned().ok_or_else(no_endpoint)
+        picked.cloned().ok_or_else(|| self.no_endpoint(req))
     }
 
     fn choices(
@@ -149,27 +211,36 @@
         let endpoints = self.shared.endpoints.load_full();
         let ready = self.ready_endpoints(&endpoints, service, tried, origin);
         if ready.is_empty() {
-            return Err(no_endpoint());
+            return Err(self.no_endpoint(req));
         }
         let now = self.shared.clock.now();
+        let wait_ms = self.shared.worth_until(req, service).since(now);
         let slowness = self.shared.slowness(ready.iter().map(|(_, e)| *e));
         let others = self.shared.other_entries();
         let mut occupancy = self.shared.occupancy();
         let ejector = self.shared.ejector();
-        let queue_limits = self.shared.queue_limits();
+        let run_times = self.shared.run_times();
         let limits = self.shared.limits();
-        let target_ms = req.route.target_ms;
         let mut usable = Vec::with_capacity(ready.len());
         let mut candidates = Vec::with_capacity(ready.len());
         let mut shortest_ms: Option<u64> = None;
         let age_ms = occupancy.mean_report_age_ms(now);
-        let reports = ReportQuality { age_ms, run_ms: queue_limits.run_ms(service), others };
-        for ((position, endpoint), slowness) in ready.into_iter().zip(slowness) {
-            let key = endpoint.load_key();
-            let load = occupancy.total_load(key, now);
-            let slots = endpoint.slots;
-            let max = queue_limits.max_online_at(service, slots, target_ms, slowness);
-            if load.online >= max {
+        let reports = ReportQuality { age_ms, run_ms: run_times.run_ms(service), others };
+        let loads: Vec<Load> =
+            ready.iter().map(|(_, e)| occupancy.total_load(e.load_key(), now)).collect();
+        let max_online = |endpoint: &EndpointRecord, slowness: f64| {
+            run_times.max_online(service, endpoint.slots, slowness, age_ms, wait_ms)
+        };
+        let maxima: Vec<u32> =
+            ready.iter().zip(&slowness).map(|((_, e), slow)| max_online(e, *slow)).collect();
+        let own = ready.iter().map(|(_, e)| occupancy.own_load(e.load_key()).online).sum();
+        let all = loads.iter().map(|l| l.online).sum();
+        let is_behind = self.shared.is_behind(service, (own, all), maxima.iter().sum(), now);
+        let known = loads.into_iter().zip(maxima).zip(slowness);
+        for ((position, endpoint), ((load, max), slowness)) in ready.into_iter().zip(known) {
+            let (key, slots) = (endpoint.load_key(), endpoint.slots);
+            let max = if is_behind { max + (max - slots) } else { max };
+            if load.online >= max || self.shared.is_full(key, now) {
                 continue;
             }
             let limited_ms = limits.wait_ms(key, now);
@@ -191,9 +262,10 @@
                 avoid: ejector.is_ejected(&endpoint.name, now),
             });
         }
-        drop((occupancy, ejector, queue_limits, limits));
+        drop((occupancy, ejector, run_times, limits));
         let limited_ms = shortest_ms;
-        let mut choices = Choices { endpoints, reports, usable, candidates, limited_ms };
+        let left_ms = req.due.since(now);
+        let mut choices = Choices { endpoints, reports, usable, candidates, limited_ms, left_ms };
         if origin.is_some() {
             self.prefer_held(&mut choices);
         }
@@ -272,18 +344,19 @@
         chosen.ok_or_else(|| match self.limited_ms {
             Some(limited_ms) => Refusal::not_run(
                 RefusalReason::EndpointLimit,
-                "every ready endpoint below its queue limit has had what its own limit allows",
+                "every ready endpoint with room has had what its own limit allows",
             )
-            .retry_after(retry_after_ms(rng.random()).max(u32::try_from(limited_ms).unwrap_or(0))),
-            None => {
-                Refusal::not_run(RefusalReason::Busy, "every ready endpoint is at its queue limit")
-                    .retry_after(retry_after_ms(rng.random()))
-            }
+            .retry_after(
+                return_after_ms(self.left_ms, rng.random())
+                    .max(u32::try_from(limited_ms).unwrap_or(0)),
+            ),
+            None => Refusal::not_run(RefusalReason::Busy, "no ready endpoint has room")
+                .retry_after(return_after_ms(self.left_ms, rng.random())),
         })
     }
 }
 
-fn no_endpoint() -> Refusal {
-    Refusal::not_run(RefusalReason::NoEndpoint, "no ready endpoint is left for the route")
-        .retry_after(RETRY_AFTER_MS)
+/// Returns whether there are endpoints, but none has room now.
+fn is_without_room(chosen: &Result<EndpointChoice, Refusal>) -> bool {
+    chosen.as_ref().is_err_and(|refusal| refusal.reason == RefusalReason::Busy)
 }
--- a/crates/mulberry-direct/src/fair_share.rs
+++ b/crates/mulberry-direct/src/fair_share.rs
@@ -34,6 +34,13 @@
 /// between two heartbeats of a peer.
 const SUMS_HOLD_MS: u64 = 50;
 
+/// Part of the time that callers have to wait which is filled before accounts are held to their shares. An
+/// account that asks for more makes the others wait for no longer than that.
+const SHARED_WAIT_PART: f64 = 0.25;
+
+/// Weight of a request in the mean time that callers have to wait.
+const SPARE_WEIGHT: f64 = 0.02;
+
 /// Seed of the hashes by which requests without an account are told apart by their route.
 const ROUTE_SEED: u64 = 0x726f_7574;
 
@@ -55,9 +62,16 @@
     summed_at: Option<Millis>,
     /// Those of the numbers that stand for a route, since its requests have no account.
     routes: IndexSet<u32>,
+    /// Mean time that callers have to wait before their requests must begin, in milliseconds.
+    spare_ms: Option<f64>,
 }
 
 impl ServiceShares {
+    fn record_spare(&mut self, spare_ms: f64) {
+        let mean = self.spare_ms.get_or_insert(spare_ms);
+        *mean += (spare_ms - *mean) * SPARE_WEIGHT;
+    }
+
     /// Assigns the requests of other entries that no account is reported for to the routes of requests
     /// without an account, in proportion to what those have in flight here.
     fn assign_rest(&mut self, at_service: f64) {
@@ -136,14 +150,16 @@
         }
         let now = self.clock.now();
         let account = account_of(req);
+        let spare_ms = self.start_by(req, service).since(now) as f64;
         lock(&self.fair_share_desk.priorities).insert(account, req.priority);
         let mut services = lock(&self.fair_share_desk.services);
         let shares = services.entry(service.clone()).or_default();
         if req.account.is_none() {
             shares.routes.insert(account);
         }
+        shares.record_spare(spare_ms);
         if shares.share.is_due(now) {
-            self.refresh_shares(shares, service, req.route.target_ms, now);
+            self.refresh_shares(shares, service, now);
         }
         let decided = shares.share.decide(account, &mut rand::rng(), now);
         drop(services);
@@ -207,13 +223,7 @@
     }
 
     /// Derives the shares of a service anew. While its room is not known, it has no limit.
-    fn refresh_shares(
-        &self,
-        shares: &mut ServiceShares,
-        service: &ServiceName,
-        target_ms: u64,
-        now: Millis,
-    ) {
+    fn refresh_shares(&self, shares: &mut ServiceShares, service: &ServiceName, now: Millis) {
         if shares.summed_at.is_none_or(|at| now.since(at) >= SUMS_HOLD_MS) {
             shares.summed_at = Some(now);
             self.sum_peers(shares, service, now);
@@ -233,7 +243,7 @@
         let accounts: Vec<AccountView> = accounts.iter().map(view).collect();
         drop(priorities);
         let view = ServiceView {
-            room: self.room(service, target_ms),
+            room: self.room(service, shares.spare_ms.unwrap_or(0.0)),
             other_entries: self.other_entries(),
             age_ms: self.occupancy().max_report_age_ms(now),
             accounts: &accounts,
@@ -288,22 +298,24 @@
         (f64::from(at_service), f64::from(at_all))
     }
 
-    /// Returns the online requests that the ready endpoints of a service can have in flight.
-    fn room(&self, service: &ServiceName, target_ms: u64) -> Room {
+    /// Returns the online requests that a service can have in progress, running and waiting, if callers have
+    /// `spare_ms` milliseconds to wait.
+    fn room(&self, service: &ServiceName, spare_ms: f64) -> Room {
         let endpoints = self.endpoints.load();
-        let queue_limits = self.queue_limits();
+        let run_times = self.run_times();
         let leaving = self.leaving();
         let mut room = Room { slots: 0, places: 0 };
         let is_ready = |e: &EndpointRecord| {
             e.service == *service && e.state == EndpointState::Ready && !leaving.is_leaving(e)
         };
         for endpoint in endpoints.values().filter(|e| is_ready(e)) {
-            let places = queue_limits.max_online(service, endpoint.slots, target_ms);
+            let interval_ms = run_times.end_interval_ms(service, endpoint.slots, 1.0);
+            let waiting = (spare_ms * SHARED_WAIT_PART / interval_ms) as u32;
             room.slots = room.slots.saturating_add(endpoint.slots);
-            room.places = room.places.saturating_add(places);
+            room.places = room.places.saturating_add(endpoint.slots.saturating_add(waiting));
         }
-        if room.slots == 0 {
-            // The choice of the endpoint says that none is ready.
+        if room.slots == 0 || run_times.run_ms(service).is_none() {
+            // The choice of the endpoint says that none is ready; without a run, nothing shows a limit.
             room.places = u32::MAX;
         }
         room
--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -19,6 +19,7 @@
 use crate::accounts::authenticate;
 use crate::accounts::authenticate_again;
 use crate::accounts::set_account;
+use crate::accounts::used_key;
 use crate::caller_head::check_head_size;
 use crate::caller_head::convert_method;
 use crate::caller_head::forwarded_headers;
@@ -169,6 +170,7 @@
     let part_ids = prompt.as_deref().map(|value| shared.dialect.parse_shared_parts(value));
     let caller = CallerRequest {
         parts: part_fingerprints(&part_ids.unwrap_or_default()),
+        key: used_key(shared, req, account.as_deref()),
         priority: account.as_ref().and_then(|a| a.priority).unwrap_or(route.priority),
         route,
         account,
@@ -181,6 +183,7 @@
         request_id,
         body,
         due,
+        came_at: started,
         resumes: text_header(req, &shared.dialect.headers().resumes),
         last_event: parse_number_header(req, &shared.dialect.headers().last_event_id),
         is_continued: req.headers().contains_key(shared.dialect.headers().last_event_id.as_str()),
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -54,3 +54,4 @@
 pub mod stream_body;
 pub mod trials;
 pub mod vm_limits;
+pub mod waiting;
--- a/crates/mulberry-direct/src/peers.rs
+++ b/crates/mulberry-direct/src/peers.rs
@@ -240,6 +240,8 @@
         &datagram.refused,
         now + load_ttl_ms(heartbeat.next_ms),
     );
+    shared.record_waiting_of_peer(name, &datagram.waiting, now + load_ttl_ms(heartbeat.next_ms));
+    shared.call_waiting();
     let taken = shared.account_usages().record_report(name, report, now);
     shared.record_taken_by_peer(&taken, was_heard);
     if let Some(peer) = shared.peers().get_mut(name) {
@@ -290,8 +292,18 @@
         let accounts = shared.account_usages().usages_to_send(shared.clock.now());
         let refused = shared.fair_share_refusals();
         let slowness = shared.slowness_to_tell(&heartbeat);
-        let mut datagram =
-            PeerDatagram { heartbeat, details, parts, limits, place, accounts, refused, slowness };
+        let waiting = shared.waiting_to_tell();
+        let mut datagram = PeerDatagram {
+            heartbeat,
+            details,
+            parts,
+            limits,
+            place,
+            accounts,
+            refused,
+            slowness,
+            waiting,
+        };
         for (next_ms, addresses) in due_addresses_by_interval(&shared, &datagram.heartbeat) {
             datagram.heartbeat.next_ms = next_ms;
             match encode_peer_datagram(&datagram, &secrets) {
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -15,7 +15,6 @@
 
 use mulberry_policy::event_sequence::is_continuation;
 use mulberry_policy::occupancy::LoadClass;
-use mulberry_policy::queue_limit::retry_after_ms;
 use mulberry_policy::retry::FailedAttempt;
 use mulberry_policy::retry::RetryDecision;
 use mulberry_policy::retry::decide_retry;
@@ -23,6 +22,7 @@
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
+use mulberry_policy::waiting_line::return_after_ms;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
@@ -33,6 +33,7 @@
 use mulberry_protocol::route::RouteKind;
 use mulberry_protocol::stream_origin::StreamOrigin;
 
+use crate::accounts::require_key;
 use crate::caller_request::CallerRequest;
 use crate::choice::EndpointChoice;
 use crate::connection::BreakCause;
@@ -47,6 +48,7 @@
 use crate::run_watch::RunWatch;
 use crate::shared::LoadGuard;
 use crate::shared::SharedState;
+use crate::waiting::Turn;
 
 /// Largest buffered response body that is relayed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
@@ -109,17 +111,21 @@
     pub refusal: Refusal,
     /// How the exchange broke, if it did after the request may have been written.
     pub cause: Option<BreakCause>,
+    /// Whether the endpoint said that it had no room, and did not run the request.
+    pub is_without_room: bool,
 }
 
 impl From<Refusal> for AttemptFailure {
     fn from(refusal: Refusal) -> Self {
-        Self { refusal, cause: None }
+        Self { refusal, cause: None, is_without_room: false }
     }
 }
 
 /// Outcomes of the attempts at one request so far.
 struct AttemptState {
+    /// Endpoints that it is not sent to again.
     tried: Vec<EndpointName>,
+    turn: Turn,
     /// Whether a trial was claimed for the request.
     has_trial: bool,
     /// Failed attempts that may have run.
@@ -136,6 +142,7 @@
         let origin = self.required_origin(req).await?;
         let mut attempts = AttemptState {
             tried: Vec::new(),
+            turn: Turn::First,
             has_trial: false,
             may_have_run: 0,
             not_run: 0,
@@ -155,11 +162,19 @@
                 Err(failure) => failure,
             };
             let refusal = &failure.refusal;
+            attempts.turn = Turn::Again;
             match refusal.run {
-                RunState::NotRun => attempts.not_run += 1,
-                RunState::Unknown | RunState::Ran => attempts.may_have_run += 1,
+                // It may have room again while the caller still waits.
+                RunState::NotRun if failure.is_without_room => {}
+                RunState::NotRun => {
+                    attempts.not_run += 1;
+                    attempts.tried.push(endpoint.name.clone());
+                }
+                RunState::Unknown | RunState::Ran => {
+                    attempts.may_have_run += 1;
+                    attempts.tried.push(endpoint.name.clone());
+                }
             }
-            attempts.tried.push(endpoint.name.clone());
             let mut decision = decide_retry(&FailedAttempt {
                 refusal,
                 attempts: attempts.may_have_run,
@@ -196,14 +211,16 @@
         origin: Option<&StreamOrigin>,
     ) -> Result<EndpointChoice, Refusal> {
         let has_trial = attempts.has_trial && attempts.may_have_run == 0;
-        let needed_trials = match req.route.targets.first() {
-            Some(target) if !has_trial => {
-                self.shared.check_permission(req.keys(), &target.service)?
-            }
-            Some(_) | None => Vec::new(),
+        let permission = || match req.route.targets.first() {
+            Some(target) if !has_trial => self.shared.check_permission(req.keys(), &target.service),
+            Some(_) | None => Ok(Vec::new()),
         };
-        let choice = self.choose_within_limits(req, &attempts.tried, origin).await?;
-        for key in needed_trials {
+        permission()?;
+        let choosing = self.choose_within_limits(req, &attempts.tried, origin, attempts.turn);
+        let choice = choosing.await?;
+        // While it waited for room, its key may have been removed, and it may have been convicted.
+        require_key(&self.shared, req)?;
+        for key in permission()? {
             self.shared.claim_online_trial(key).await?;
             attempts.has_trial = true;
         }
@@ -254,9 +271,10 @@
         match tokio::time::timeout(Duration::from_millis(timeout_ms), sending).await {
             Ok(Ok(response)) => {
                 self.shared.record_endpoint_success(&endpoint.name);
+                self.shared.record_room(endpoint);
                 Ok(response)
             }
-            Ok(Err(e)) => Err(self.to_failure(endpoint, e)),
+            Ok(Err(e)) => Err(self.to_failure(req, choice, e)),
             Err(_) => {
                 self.record_failure(endpoint, "slow");
                 let detail = format!("no response from the endpoint within {timeout_ms} ms");
@@ -316,7 +334,13 @@
         }))
     }
 
-    fn to_failure(&self, endpoint: &EndpointRecord, error: ExchangeError) -> AttemptFailure {
+    fn to_failure(
+        &self,
+        req: &CallerRequest,
+        choice: &EndpointChoice,
+        error: ExchangeError,
+    ) -> AttemptFailure {
+        let endpoint = &choice.endpoint;
         match error {
             ExchangeError::NotSent { detail } => {
                 self.record_failure(endpoint, "not-sent");
@@ -329,13 +353,21 @@
                     StatusCode::MISDIRECTED_REQUEST => RefusalReason::NotReady,
                     _ => RefusalReason::Busy,
                 };
-                let retry_ms = retry_after_ms(rand::rng().random());
-                Refusal::not_run(reason, detail).retry_after(retry_ms).into()
+                // With free slots as far as is known, it refuses for another reason, and may go on to.
+                let is_without_room =
+                    reason == RefusalReason::Busy && choice.in_flight >= endpoint.slots;
+                if is_without_room {
+                    self.shared.record_full(endpoint);
+                }
+                let left_ms = req.due.since(self.shared.clock.now());
+                let retry_ms = return_after_ms(left_ms, rand::rng().random());
+                let refusal = Refusal::not_run(reason, detail).retry_after(retry_ms);
+                AttemptFailure { refusal, cause: None, is_without_room }
             }
             ExchangeError::Broken { cause, detail } => {
                 self.record_failure(endpoint, cause.as_str());
                 let refusal = Refusal::unknown(RefusalReason::LinkFailed, detail);
-                AttemptFailure { refusal, cause: Some(cause) }
+                AttemptFailure { refusal, cause: Some(cause), is_without_room: false }
             }
         }
     }
--- a/crates/mulberry-direct/src/shared.rs
+++ b/crates/mulberry-direct/src/shared.rs
@@ -26,7 +26,7 @@
 use mulberry_policy::memory_budget::MemoryBudget;
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::Occupancy;
-use mulberry_policy::queue_limit::QueueLimits;
+use mulberry_policy::run_times::RunTimes;
 use mulberry_policy::version_history::VersionHistory;
 use mulberry_policy::vm_shares::VmShares;
 use mulberry_policy::watch_renewal::Known;
@@ -64,6 +64,7 @@
 use crate::settings::DirectSettings;
 use crate::trials::TrialDesk;
 use crate::vm_limits::vm_shares;
+use crate::waiting::WaitingDesk;
 
 /// Records of the known endpoints, by name.
 pub type Endpoints = IndexMap<EndpointName, EndpointRecord>;
@@ -118,7 +119,7 @@
     pub(crate) account_labels: AccountLabels,
     ejector: Mutex<Ejector>,
     leaving: Mutex<LeavingEndpoints>,
-    queue_limits: Mutex<QueueLimits>,
+    run_times: Mutex<RunTimes>,
     pub(crate) endpoint_speeds: Mutex<EndpointSpeeds>,
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
     /// What the process may hold.
@@ -132,6 +133,7 @@
     pub(crate) limit_desk: LimitDesk,
     pub(crate) fair_share_desk: FairShareDesk,
     pub(crate) rate_desk: RateDesk,
+    pub(crate) waiting_desk: WaitingDesk,
     /// Socket for datagrams to peers, once it is open.
     pub datagrams: OnceLock<Arc<UdpSocket>>,
     version_history: Mutex<VersionHistory>,
@@ -187,7 +189,7 @@
             account_labels: AccountLabels::default(),
             ejector: Mutex::default(),
             leaving: Mutex::default(),
-            queue_limits: Mutex::default(),
+            run_times: Mutex::default(),
             endpoint_speeds: Mutex::default(),
             crash_suspects: Mutex::default(),
             shares,
@@ -199,6 +201,7 @@
             limit_desk: LimitDesk::default(),
             fair_share_desk: FairShareDesk::default(),
             rate_desk,
+            waiting_desk: WaitingDesk::default(),
             datagrams: OnceLock::new(),
             version_history: Mutex::default(),
             endpoints_known: AtomicU64::new(0),
@@ -349,9 +352,9 @@
         self.configuration.load().as_ref().map_or(0, |c| c.version)
     }
 
-    /// Locks the queue limits, which are derived from the measured speed of each service.
-    pub fn queue_limits(&self) -> MutexGuard<'_, QueueLimits> {
-        lock(&self.queue_limits)
+    /// Locks the measured run times of all services.
+    pub fn run_times(&self) -> MutexGuard<'_, RunTimes> {
+        lock(&self.run_times)
     }
 
     /// Counts a request as in flight at an endpoint until the guard is dropped.
@@ -389,6 +392,7 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.shared.occupancy().end(self.endpoint, self.class);
+        self.shared.call_waiting();
     }
 }
 
--- a/crates/mulberry-direct/src/speeds.rs
+++ b/crates/mulberry-direct/src/speeds.rs
@@ -5,6 +5,7 @@
 use mulberry_policy::endpoint_speed::EndpointSpeeds;
 use mulberry_policy::endpoint_speed::ObservedRun;
 use mulberry_policy::endpoint_speed::told_with;
+use mulberry_policy::run_times::CompletedRun;
 use mulberry_protocol::endpoint::EndpointRecord;
 use mulberry_protocol::peer::EndpointSlowness;
 use mulberry_protocol::peer::PeerDatagram;
@@ -19,7 +20,7 @@
         lock(&self.endpoint_speeds)
     }
 
-    /// Records the times of a response, for the queue limits and for the speed of the endpoint. `rest` is
+    /// Records the times of a response, for the run times and for the speed of the endpoint. `rest` is
     /// the time from the first part to the last one and the number of parts, unless it came at once.
     pub fn record_run_times(
         &self,
@@ -29,7 +30,9 @@
     ) {
         let endpoint = &choice.endpoint;
         let rest_ms = rest.map_or(0, |(rest_ms, _)| rest_ms);
-        self.queue_limits().record_run(&endpoint.service, first_ms, rest_ms);
+        let (in_flight, slots) = (choice.in_flight + 1, endpoint.slots);
+        let run = CompletedRun { first_ms, rest_ms, in_flight, slots };
+        self.run_times().record_run(&endpoint.service, run);
         // An endpoint that has just started is slow for a short time only.
         if !endpoint.is_cold {
             let run = ObservedRun { in_flight: choice.in_flight + 1, first_ms, rest };
@@ -54,7 +57,7 @@
     pub(crate) fn merge_view(&self, datagram: &PeerDatagram) {
         let now = self.clock.now();
         self.endpoint_speeds().merge(&datagram.slowness, now);
-        let run_ms = self.queue_limits().mean_run_ms();
+        let run_ms = self.run_times().mean_run_ms();
         let (name, loads) = (&datagram.heartbeat.member.name, &datagram.heartbeat.loads);
         let error = self.occupancy().report_error(name, loads, run_ms, now);
         self.metrics.add("direct.loads_reported", error.reported.into());
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -38,6 +38,7 @@
 use crate::relay::RelayResponse;
 use crate::shared::RequestGuard;
 use crate::sse::SseParser;
+use crate::waiting::Turn;
 
 /// Part of a stream's time, as one in so many, for which a caller may keep it waiting. Beyond that its time
 /// between parts says more of the caller than of the endpoint.
@@ -246,7 +247,9 @@
                 return false;
             }
             let origin = origin.as_ref();
-            let choice = self.relay.choose_within_limits(&self.req, &self.tried, origin).await;
+            let choice =
+                self.relay.choose_within_limits(&self.req, &self.tried, origin, Turn::Again);
+            let choice = choice.await;
             let Ok(choice) = choice else { return false };
             if let Some(origin) = origin
                 && !self.confirm_origin(&choice, origin).await
@@ -339,7 +342,7 @@
         );
     }
 
-    /// Records the timing of a stream that ran at a single endpoint, for the queue limits and the endpoint's speed.
+    /// Records the timing of a stream that ran at a single endpoint, for the run times and the endpoint's speed.
     fn record_timing(&self) {
         let Some(first_chunk_at) = self.first_chunk_at.filter(|_| self.tried.is_empty()) else {
             return;
--- a/crates/mulberry-policy/tests/endpoint_speed.rs
+++ b/crates/mulberry-policy/tests/endpoint_speed.rs
@@ -140,6 +140,7 @@
         accounts: Vec::new(),
         refused: Vec::new(),
         slowness: vec![told; slowness],
+        waiting: Vec::new(),
     }
 }
 
--- a/crates/mulberry-policy/tests/expected_wait.rs
+++ b/crates/mulberry-policy/tests/expected_wait.rs
@@ -10,7 +10,8 @@
 use mulberry_policy::occupancy::LoadClass;
 use mulberry_policy::occupancy::LoadReport;
 use mulberry_policy::occupancy::Occupancy;
-use mulberry_policy::queue_limit::QueueLimits;
+use mulberry_policy::run_times::CompletedRun;
+use mulberry_policy::run_times::RunTimes;
 use mulberry_protocol::name::EntryName;
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::peer::EndpointLoad;
@@ -98,12 +99,14 @@
 #[test]
 fn slow_endpoint_may_have_fewer_requests_waiting() {
     let service = ServiceName::new("captions");
-    let mut limits = QueueLimits::default();
-    (0..40).for_each(|_| limits.record_run(&service, 50, 400));
-    let max = |slowness: f64| limits.max_online_at(&service, 8, 400, slowness);
-    assert!(max(1.82) < max(1.0), "{} and {}", max(1.82), max(1.0));
-    assert!(max(0.8) > max(1.0), "{} and {}", max(0.8), max(1.0));
-    assert_eq!(max(1.0), limits.max_online(&service, 8, 400));
+    let mut times = RunTimes::default();
+    let run = CompletedRun { first_ms: 50, rest_ms: 400, in_flight: 1, slots: 8 };
+    (0..40).for_each(|_| times.record_run(&service, run));
+    for (unseen_ms, wait_ms) in [(250.0, 4_000), (1_000.0, 280)] {
+        let max = |slowness: f64| times.max_online(&service, 8, slowness, unseen_ms, wait_ms);
+        assert!(max(1.82) < max(1.0), "{} and {}", max(1.82), max(1.0));
+        assert!(max(0.7) > max(1.0), "{} and {}", max(0.7), max(1.0));
+    }
 }
 
 /// Guards against metrics that call a foreseen change an error, or miss an unforeseen one.
--- a/crates/mulberry-protocol/src/account.rs
+++ b/crates/mulberry-protocol/src/account.rs
@@ -164,7 +164,12 @@
 
     /// Returns the account that holds a key.
     pub fn with_key(&self, key: &str) -> Option<&Arc<ClientAccount>> {
-        self.by_key.get(&key_digest(key))
+        self.with_digest(&key_digest(key))
+    }
+
+    /// Returns the account that holds the key with this digest.
+    pub fn with_digest(&self, digest: &Digest) -> Option<&Arc<ClientAccount>> {
+        self.by_key.get(digest)
     }
 
     /// Returns the account with a name.
--- a/crates/mulberry-protocol/src/peer.rs
+++ b/crates/mulberry-protocol/src/peer.rs
@@ -168,6 +168,24 @@
     }
 }
 
+/// Times until the latest start by which waiting requests are counted, in milliseconds; the last one is
+/// longer than callers wait.
+pub const WAITING_BOUNDS_MS: [u64; 8] = [125, 250, 500, 1_000, 2_000, 4_000, 8_000, 64_000];
+
+/// Numbers of waiting requests, each of those that must begin before its bound and not before the last one.
+pub type WaitingCounts = [u16; WAITING_BOUNDS_MS.len()];
+
+value_type! {
+    #[derive(Copy)]
+    /// Requests of one service that wait at the sender of a heartbeat for an endpoint with room.
+    pub struct ServiceWaiting {
+        /// Low half of the stable hash of the service's name.
+        pub service: u32,
+        /// How many must begin by when.
+        pub counts: WaitingCounts,
+    }
+}
+
 /// A heartbeat and what stands behind it in the same datagram, which earlier builds don't read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PeerDatagram {
@@ -187,6 +205,8 @@
     pub refused: Vec<AccountRefusals>,
     /// Speeds of a few endpoints. Empty from earlier builds.
     pub slowness: Vec<EndpointSlowness>,
+    /// What waits at the sender. Empty from earlier builds.
+    pub waiting: Vec<ServiceWaiting>,
 }
 
 /// Encodes and signs a heartbeat as a datagram.
@@ -195,9 +215,12 @@
     secrets: &SecretKeyring,
 ) -> Result<Vec<u8>, ProtocolError> {
     let mut payload = postcard::to_stdvec(&datagram.heartbeat)?;
-    let PeerDatagram { details, parts, limits, place, accounts, refused, slowness, .. } = datagram;
+    let PeerDatagram {
+        details, parts, limits, place, accounts, refused, slowness, waiting, ..
+    } = datagram;
     // A list is written if one behind it is, since lists are told apart by their position.
-    let has_refused = !(refused.is_empty() && slowness.is_empty());
+    let has_slowness = !(slowness.is_empty() && waiting.is_empty());
+    let has_refused = has_slowness || !refused.is_empty();
     let has_accounts = has_refused || !accounts.is_empty();
     let has_places = has_accounts || place.is_some();
     let has_lists = !(details.is_empty() && parts.is_empty() && limits.is_empty());
@@ -216,9 +239,12 @@
     if has_refused {
         payload.extend(postcard::to_stdvec(refused)?);
     }
-    if !slowness.is_empty() {
+    if has_slowness {
         payload.extend(postcard::to_stdvec(slowness)?);
     }
+    if !waiting.is_empty() {
+        payload.extend(postcard::to_stdvec(waiting)?);
+    }
     Ok(secrets.sign_datagram(&payload))
 }
 
@@ -235,9 +261,20 @@
     let (mut places, rest): (Vec<PeerPlace>, _) = take_list(rest)?;
     let (accounts, rest) = take_list(rest)?;
     let (refused, rest) = take_list(rest)?;
-    let (slowness, _later) = take_list(rest)?;
+    let (slowness, rest) = take_list(rest)?;
+    let (waiting, _later) = take_list(rest)?;
     let place = places.pop();
-    Ok(PeerDatagram { heartbeat, details, parts, limits, place, accounts, refused, slowness })
+    Ok(PeerDatagram {
+        heartbeat,
+        details,
+        parts,
+        limits,
+        place,
+        accounts,
+        refused,
+        slowness,
+        waiting,
+    })
 }
 
 /// Decodes a list and returns what stands behind it. Where an earlier build ends, the list is empty.
--- a/crates/mulberry-protocol/src/route.rs
+++ b/crates/mulberry-protocol/src/route.rs
@@ -58,6 +58,9 @@
         pub timeout_ms: u64,
         /// Time within which a response counts as on time, in milliseconds.
         pub target_ms: u64,
+        /// Longest time that a caller waits for the first part of a stream, in milliseconds; zero if the
+        /// configuration does not tell.
+        pub first_part_ms: u64,
         /// Priority of the requests; zero is the most urgent.
         pub priority: u32,
         /// Services that the requests are divided between; never empty.
--- a/crates/mulberry-protocol/tests/decoders.rs
+++ b/crates/mulberry-protocol/tests/decoders.rs
@@ -43,6 +43,7 @@
 use mulberry_protocol::peer::PeerPlace;
 use mulberry_protocol::peer::PeerRole;
 use mulberry_protocol::peer::SeenCrash;
+use mulberry_protocol::peer::ServiceWaiting;
 use mulberry_protocol::peer::SuspectDetail;
 use mulberry_protocol::peer::decode_peer_datagram;
 use mulberry_protocol::peer::encode_peer_datagram;
@@ -182,6 +183,7 @@
         accounts: Vec::new(),
         refused: Vec::new(),
         slowness: Vec::new(),
+        waiting: Vec::new(),
     }
 }
 
@@ -214,6 +216,10 @@
     let with_slowness = PeerDatagram { slowness, ..with_place };
     let datagram = encode_peer_datagram(&with_slowness, &secrets).unwrap();
     assert_eq!(decode_peer_datagram(&datagram, &secrets).unwrap(), with_slowness);
+    let waiting = vec![ServiceWaiting { service: 7, counts: [0, 1, 2, 300, 0, 0, 0, 1] }];
+    let with_waiting = PeerDatagram { waiting, ..peer_datagram(Vec::new()) };
+    let datagram = encode_peer_datagram(&with_waiting, &secrets).unwrap();
+    assert_eq!(decode_peer_datagram(&datagram, &secrets).unwrap(), with_waiting);
     let sent = peer_datagram(vec![detail]);
     let heartbeat = postcard::to_stdvec(&sent.heartbeat).unwrap();
     let details = postcard::to_stdvec(&sent.details).unwrap();
