--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -114,6 +114,7 @@
         if !route.targets.iter().any(|t| t.service == *service) {
             continue;
         }
+        let expected_until = log.known_since + route.batch.retention_ms;
         for (index, item) in log.items().iter().enumerate() {
             let key = (id.clone(), index);
             let left_ms = state.run_time.remaining_ms(item.progress.events);
@@ -124,6 +125,7 @@
                         item: key,
                         endpoint: run.endpoint,
                         due_at: log.due_at,
+                        expected_until,
                         left_ms,
                     });
                 }
@@ -132,6 +134,7 @@
                         last_endpoint: state.last_endpoints.get(&key).copied(),
                         item: key,
                         due_at: log.due_at,
+                        expected_until,
                         left_ms,
                         begun_by: item.awaited_origin().map(|origin| BegunBy {
                             version: version_key(origin),
--- a/crates/mulberry-policy/src/batch_share.rs
+++ b/crates/mulberry-policy/src/batch_share.rs
@@ -36,6 +36,8 @@
     pub endpoint: u64,
     /// Time by which its job is due.
     pub due_at: Millis,
+    /// Time after which its caller no longer expects it.
+    pub expected_until: Millis,
     /// Estimated time to generate the rest of its output, in milliseconds.
     pub left_ms: u64,
 }
@@ -47,6 +49,8 @@
     pub item: K,
     /// Time by which its job is due.
     pub due_at: Millis,
+    /// Time after which its caller no longer expects it.
+    pub expected_until: Millis,
     /// Estimated time to generate the rest of its output, in milliseconds.
     pub left_ms: u64,
     /// Endpoint of its last run. Another endpoint is preferred for the next one.
@@ -55,6 +59,18 @@
     pub begun_by: Option<BegunBy>,
 }
 
+impl<K> RunningItem<K> {
+    fn promise(&self) -> Promise {
+        Promise { due_at: self.due_at, expected_until: self.expected_until }
+    }
+}
+
+impl<K> WaitingItem<K> {
+    fn promise(&self) -> Promise {
+        Promise { due_at: self.due_at, expected_until: self.expected_until }
+    }
+}
+
 /// The version that began an item's output. Another one has to begin anew.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BegunBy {
@@ -97,7 +113,7 @@
     }
     let mut stops = Vec::new();
     let mut by_slack: Vec<&RunningItem<K>> = running.iter().collect();
-    by_slack.sort_by_key(|r| std::cmp::Reverse(urgency_key(r.due_at, r.left_ms, now)));
+    by_slack.sort_by_key(|r| std::cmp::Reverse(urgency_key(r.promise(), r.left_ms, now)));
     for item in by_slack {
         // Online requests may use the reserve before an item is stopped.
         let overcommitted = free_slots
@@ -109,7 +125,7 @@
         }
     }
     let mut by_urgency: Vec<&WaitingItem<K>> = waiting.iter().collect();
-    by_urgency.sort_by_key(|w| urgency_key(w.due_at, w.left_ms, now));
+    by_urgency.sort_by_key(|w| urgency_key(w.promise(), w.left_ms, now));
     let mut starts = Vec::new();
     for item in by_urgency {
         let version = awaited_version(item, endpoints, now);
@@ -154,9 +170,18 @@
         - i64::from(endpoint.peer_batch)
 }
 
-/// Returns a key that sorts items that can still meet their due time before the others, and those
-/// with the least slack first.
-fn urgency_key(due_at: Millis, left_ms: u64, now: Millis) -> (bool, u64) {
+/// When its caller expects an item.
+#[derive(Debug, Clone, Copy)]
+struct Promise {
+    due_at: Millis,
+    expected_until: Millis,
+}
+
+/// Returns a key that sorts items by the time at which they must begin to keep what is promised of them. An
+/// item that can't be in time any more makes room for others that can, but not for so long that its caller
+/// goes without it. Only items that nobody expects any more go behind all others.
+fn urgency_key(promise: Promise, left_ms: u64, now: Millis) -> (bool, u64) {
     let end = now + left_ms;
-    (end > due_at, due_at.0.saturating_sub(left_ms))
+    let kept_by = if end <= promise.due_at { promise.due_at } else { promise.expected_until };
+    (end > kept_by, kept_by.0.saturating_sub(left_ms))
 }
--- a/crates/mulberry-policy/tests/batch_share.rs
+++ b/crates/mulberry-policy/tests/batch_share.rs
@@ -22,6 +22,9 @@
 const SLOTS: u32 = 8;
 const NOW: Millis = Millis(100_000);
 
+/// Time from now up to which items are expected although they are late, in milliseconds.
+const RETENTION_MS: u64 = 40_000;
+
 /// Age up to which reported loads count, in milliseconds.
 const LOAD_TTL_MS: u64 = 1_000;
 
@@ -42,13 +45,15 @@
 }
 
 fn running(item: u32, endpoint: u64, slack_ms: u64) -> RunningItem<u32> {
-    RunningItem { item, endpoint, due_at: NOW + (1_000 + slack_ms), left_ms: 1_000 }
+    let due_at = NOW + (1_000 + slack_ms);
+    RunningItem { item, endpoint, due_at, expected_until: NOW + RETENTION_MS, left_ms: 1_000 }
 }
 
 fn waiting(item: u32, slack_ms: u64) -> WaitingItem<u32> {
     WaitingItem {
         item,
         due_at: NOW + (5_000 + slack_ms),
+        expected_until: NOW + RETENTION_MS,
         left_ms: 5_000,
         last_endpoint: None,
         begun_by: None,
@@ -118,6 +123,19 @@
             stops: Vec::new(),
             starts: vec![(2, 1), (3, 1), (1, 1)],
         },
+        LoadPattern {
+            name: "backlog without end: a late item is served before its caller has given it up",
+            endpoints: vec![endpoint(1, 5)],
+            running: Vec::new(),
+            waiting: vec![
+                waiting(1, 8_000),
+                WaitingItem { due_at: NOW, expected_until: NOW + 6_000, ..waiting(0, 0) },
+                WaitingItem { due_at: NOW, expected_until: NOW, ..waiting(2, 0) },
+                waiting(3, 9_000),
+            ],
+            stops: Vec::new(),
+            starts: vec![(0, 1), (1, 1)],
+        },
         LoadPattern {
             name: "uneven load: the endpoint with the most free slots first",
             endpoints: vec![endpoint(1, 6), endpoint(2, 3)],
