--- a/crates/mulberry-direct/src/owner/load.rs
+++ b/crates/mulberry-direct/src/owner/load.rs
@@ -37,9 +37,6 @@
 /// Interval at which a new owner checks whether its watches are up to date, in milliseconds.
 const WATCH_POLL_INTERVAL_MS: u64 = 10;
 
-/// Time in which a job is due if its route is not in the configuration, in milliseconds.
-const DEFAULT_COMPLETION_MS: u64 = 18_000;
-
 /// Loads all jobs after the lease was acquired, then starts to serve.
 pub(crate) async fn load_jobs(owner: Rc<Owner>) {
     let generation = owner.state.borrow().generation;
@@ -214,7 +211,8 @@
 pub(crate) fn build_job_log(owner: &Owner, stored: &StoredJob, items: Vec<JobItem>) -> JobLog {
     let configuration = owner.shared.configuration.load();
     let route = configuration.as_ref().and_then(|c| c.route_by_name(&stored.route));
-    let completion_ms = route.map_or(DEFAULT_COMPLETION_MS, |r| r.batch.completion_ms);
+    // Without its route and without what was promised at its acceptance, nothing says when it is due.
+    let completion_ms = route.map(|r| r.batch.completion_ms).or(stored.completion_ms).unwrap_or(0);
     let unix_ms = owner.shared.clock.unix_s() * 1_000;
     let age_ms = unix_ms.saturating_sub(stored.accepted_unix_ms).min(completion_ms);
     let now = owner.now();
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -33,6 +33,7 @@
 use tokio::task::AbortHandle;
 
 use mulberry_platform::store::Store;
+use mulberry_policy::item_times::ItemTimes;
 use mulberry_policy::job_log::JobLog;
 use mulberry_policy::owner_lease::OwnerLease;
 use mulberry_policy::progress_copies::ProgressCopies;
@@ -91,7 +92,7 @@
     pub(crate) drain_orders: IndexMap<String, u64>,
     /// VMs whose drain order is complete or withdrawn.
     pub(crate) closed_drain_orders: IndexSet<String>,
-    pub(crate) run_time: RunTimeEstimate,
+    pub(crate) item_times: ItemTimes,
     /// Progress of the items that had no listed result when the lease was lost.
     pub(crate) unfinished_progress: Vec<(JobId, Vec<ItemProgress>)>,
     /// Copies of the current owner's progress, kept for the next owner.
@@ -118,47 +119,6 @@
     }
 }
 
-/// Estimate of an item's run time: moving averages over the completed items.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RunTimeEstimate {
-    /// Average number of events of an item.
-    pub(crate) events: f64,
-    /// Average time between events, in milliseconds.
-    pub(crate) gap_ms: f64,
-}
-
-impl Default for RunTimeEstimate {
-    fn default() -> Self {
-        Self { events: INITIAL_EVENTS, gap_ms: INITIAL_GAP_MS }
-    }
-}
-
-/// Assumed number of events of an item before any has completed.
-const INITIAL_EVENTS: f64 = 180.0;
-
-/// Assumed time between events before any item has completed, in milliseconds.
-const INITIAL_GAP_MS: f64 = 30.0;
-
-/// Weight of the newest item in the exponentially weighted moving averages.
-const EWMA_WEIGHT: f64 = 0.05;
-
-impl RunTimeEstimate {
-    /// Records an item that completed in a single run.
-    pub(crate) fn record(&mut self, events: u32, duration_ms: u64) {
-        if events == 0 {
-            return;
-        }
-        self.events += (f64::from(events) - self.events) * EWMA_WEIGHT;
-        self.gap_ms += (duration_ms as f64 / f64::from(events) - self.gap_ms) * EWMA_WEIGHT;
-    }
-
-    /// Returns the estimated time until an item with this many events completes, in milliseconds.
-    /// It is never less than a tenth of the average.
-    pub(crate) fn remaining_ms(&self, events: u32) -> u64 {
-        ((self.events - f64::from(events)).max(self.events / 10.0) * self.gap_ms) as u64
-    }
-}
-
 /// An owner process, holding the lease or standing by.
 pub(crate) struct Owner {
     pub(crate) shared: Arc<SharedState>,
@@ -202,7 +162,7 @@
                 last_commit_at: IndexMap::new(),
                 drain_orders: IndexMap::new(),
                 closed_drain_orders: IndexSet::new(),
-                run_time: RunTimeEstimate::default(),
+                item_times: ItemTimes::default(),
                 unfinished_progress: Vec::new(),
                 copies: ProgressCopies::default(),
             }),
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -122,7 +122,7 @@
         state.last_endpoints.swap_remove(&spec.key);
     }
     if outcome == RunOutcome::Completed && events_before == 0 {
-        state.run_time.record(events, now.since(started));
+        state.item_times.record(events, now.since(started));
     }
     let Some(log) = state.jobs.get_mut(&spec.key.0) else { return };
     let decision = log.record_run_outcome(spec.key.1, outcome, progressed, spec.max_failed, now);
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -117,7 +117,7 @@
         let expected_until = log.known_since + route.batch.retention_ms;
         for (index, item) in log.items().iter().enumerate() {
             let key = (id.clone(), index);
-            let left_ms = state.run_time.remaining_ms(item.progress.events);
+            let left_ms = state.item_times.remaining_ms(item.progress.events);
             match item.phase {
                 ItemPhase::Running => {
                     let Some(run) = state.runs.get(&key) else { continue };
--- a/crates/mulberry-direct/src/owner/submit.rs
+++ b/crates/mulberry-direct/src/owner/submit.rs
@@ -169,11 +169,15 @@
     let Submitted { route, host, account, items } = submitted;
     let generation = owner.state.borrow().generation;
     let (first, rest) = split_items(&items);
+    let configuration = owner.shared.configuration.load();
+    let completion_ms = configuration.as_ref().and_then(|c| c.route_by_name(&route));
+    let completion_ms = completion_ms.map(|route| route.batch.completion_ms);
     let stored = StoredJob {
         route,
         host: Arc::from(host),
         account: account.clone(),
         accepted_unix_ms: owner.shared.clock.unix_s() * 1_000,
+        completion_ms,
         parts: rest.len() as u32,
         items: first.to_vec(),
     };
--- a/crates/mulberry-protocol/src/batch_job.rs
+++ b/crates/mulberry-protocol/src/batch_job.rs
@@ -59,6 +59,10 @@
         pub account: Option<ClientName>,
         /// Unix time of acceptance in milliseconds, for ordering only.
         pub accepted_unix_ms: u64,
+        /// Time from then until all results are due, in milliseconds, as the route promised it. Absent from
+        /// earlier builds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub completion_ms: Option<u64>,
         /// Number of parts of the items that are stored as objects of their own. They are written
         /// before this object.
         pub parts: u32,
