--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -7,6 +7,7 @@
 use actix_web::HttpResponse;
 use actix_web::web;
 
+use mulberry_policy::waiting_line::usable_return_ms;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::refusal::Refusal;
@@ -109,17 +110,32 @@
     let response = match dialect.parse_job_request(req.method().as_str(), path, query) {
         Some(job_request) => match handle_job_request(handler, req, job_request).await {
             Ok(response) => response,
-            Err(refusal) => refuse_request(shared, req, &refusal),
+            Err(refusal) => refuse_in_time(shared, req, refusal, started),
         },
         None => match relay_request(handler, req, payload, guard, scope).await {
             Ok(response) => response,
-            Err(refusal) => refuse_request(shared, req, &refusal),
+            Err(refusal) => refuse_in_time(shared, req, refusal, started),
         },
     };
     shared.metrics.time_ms("direct.answer_head_ms", shared.clock.now().since(started));
     response
 }
 
+/// Refuses a request, and tells the caller to come back while it still has time.
+fn refuse_in_time(
+    shared: &SharedState,
+    req: &HttpRequest,
+    mut refusal: Refusal,
+    started: Millis,
+) -> HttpResponse {
+    let deadline_ms = parse_number_header(req, &shared.dialect.headers().deadline_ms);
+    if let (Some(deadline_ms), Some(retry_ms)) = (deadline_ms, refusal.retry_after_ms) {
+        let left_ms = (started + deadline_ms).since(shared.clock.now());
+        refusal = refusal.retry_after(usable_return_ms(retry_ms, left_ms));
+    }
+    refuse_request(shared, req, &refusal)
+}
+
 fn readiness_response(shared: &SharedState) -> HttpResponse {
     let ready = !shared.stop.is_triggered() && shared.configuration.load().is_some();
     if ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
--- a/crates/mulberry-policy/src/waiting_line.rs
+++ b/crates/mulberry-policy/src/waiting_line.rs
@@ -217,6 +217,12 @@
 /// to wait once more and to be served.
 const RETURN_PART: (f64, f64) = (1.0 / 6.0, 1.0 / 3.0);
 
+/// Returns the time after which a refused caller may come again, in milliseconds, where the cause is likely
+/// to be over after `cause_ms`: no later than the caller, with `left_ms` left, would heed it.
+pub fn usable_return_ms(cause_ms: u32, left_ms: u64) -> u32 {
+    cause_ms.min((left_ms as f64 * RETURN_PART.1) as u32)
+}
+
 /// Returns the time after which a refused caller may come again, in milliseconds, if `left_ms` are left to
 /// serve it. It is spread by `draw`, which is uniform from zero to one, so that callers don't all come at
 /// once.
