--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -19,6 +19,7 @@
 use mulberry_policy::retry::RetryDecision;
 use mulberry_policy::retry::decide_retry;
 use mulberry_policy::retry::final_refusal;
+use mulberry_policy::routing::COLD_WAIT_MS;
 use mulberry_policy::stream_end::StreamEnding;
 use mulberry_policy::stream_end::StreamPosition;
 use mulberry_policy::stream_end::StreamVerdict;
@@ -53,10 +54,6 @@
 /// Largest buffered response body that is relayed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
-/// Time after which an idempotent request without a response is retried at another endpoint, as a
-/// multiple of the route's target latency.
-const FAILOVER_TIMEOUT_TARGETS: u64 = 2;
-
 /// A response whose body was read completely.
 pub struct FullResponse {
     /// HTTP status.
@@ -257,7 +254,7 @@
         request.min_held_ms = min_held_ms;
         let may_fail_over = req.route.kind == RouteKind::Idempotent && attempt < req.route.attempts;
         let timeout_ms = match may_fail_over {
-            true => left_ms.min((req.route.target_ms * FAILOVER_TIMEOUT_TARGETS).max(1)),
+            true => self.failover_ms(choice, left_ms),
             false => left_ms,
         };
         let sending = self.send(req, choice, request, load, attempt, watch);
@@ -334,6 +331,19 @@
         }))
     }
 
+    /// Returns the time for which a response of the endpoint is waited for before another one is asked, in
+    /// milliseconds: as long as runs take at the most, if another one can still answer after that.
+    fn failover_ms(&self, choice: &EndpointChoice, left_ms: u64) -> u64 {
+        let (endpoint, in_flight) = (&choice.endpoint, choice.in_flight + 1);
+        let slowness = choice.slowness_percent as f64 / 100.0;
+        let run_times = self.shared.run_times();
+        let stuck_ms = run_times.stuck_ms(&endpoint.service, endpoint.slots, in_flight, slowness);
+        let cold_ms = if endpoint.is_cold { u64::from(COLD_WAIT_MS) } else { 0 };
+        let needed_ms = run_times.needed_ms(&endpoint.service);
+        let stuck_ms = stuck_ms.map(|stuck_ms| stuck_ms + cold_ms);
+        stuck_ms.filter(|stuck_ms| stuck_ms + needed_ms <= left_ms).unwrap_or(left_ms)
+    }
+
     fn to_failure(
         &self,
         req: &CallerRequest,
--- a/crates/mulberry-protocol/src/route.rs
+++ b/crates/mulberry-protocol/src/route.rs
@@ -56,8 +56,6 @@
         pub kind: RouteKind,
         /// Longest time that a caller is kept waiting, in milliseconds; zero for no limit.
         pub timeout_ms: u64,
-        /// Time within which a response counts as on time, in milliseconds.
-        pub target_ms: u64,
         /// Longest time that a caller waits for the first part of a stream, in milliseconds; zero if the
         /// configuration does not tell.
         pub first_part_ms: u64,
