--- a/crates/mulberry-policy/src/fair_share.rs
+++ b/crates/mulberry-policy/src/fair_share.rs
@@ -18,8 +18,8 @@
 /// send in bursts, and what entries take at the same time without knowing of each other.
 const FILLED_WAITING_PART: f64 = 0.75;
 
-/// Least part of its demand that an account is served, relative to what all are served on average. A
-/// quarter is promised; the rest is for demands that are known late.
+/// Least part of its demand that an account is served, relative to what all are served on average, so that
+/// nobody is starved: less than a quarter counts as that. The rest is for demands that are known late.
 const MIN_SERVED_PART: f64 = 0.3;
 
 /// Time for which shares hold before they are derived again, in milliseconds; a small part of the age of
