--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -254,7 +254,7 @@
         request.min_held_ms = min_held_ms;
         let may_fail_over = req.route.kind == RouteKind::Idempotent && attempt < req.route.attempts;
         let timeout_ms = match may_fail_over {
-            true => self.failover_ms(choice, left_ms),
+            true => self.failover_ms(choice, left_ms, req.route.attempts - attempt + 1),
             false => left_ms,
         };
         let sending = self.send(req, choice, request, load, attempt, watch);
@@ -332,16 +332,17 @@
     }
 
     /// Returns the time for which a response of the endpoint is waited for before another one is asked, in
-    /// milliseconds: as long as runs take at the most, if another one can still answer after that.
-    fn failover_ms(&self, choice: &EndpointChoice, left_ms: u64) -> u64 {
+    /// milliseconds: an even part of what is left for each of the `attempts`, and as long as runs take at the
+    /// most, if another one can still answer after that.
+    fn failover_ms(&self, choice: &EndpointChoice, left_ms: u64, attempts: u32) -> u64 {
         let (endpoint, in_flight) = (&choice.endpoint, choice.in_flight + 1);
         let slowness = choice.slowness_percent as f64 / 100.0;
         let run_times = self.shared.run_times();
         let stuck_ms = run_times.stuck_ms(&endpoint.service, endpoint.slots, in_flight, slowness);
         let cold_ms = if endpoint.is_cold { u64::from(COLD_WAIT_MS) } else { 0 };
         let needed_ms = run_times.needed_ms(&endpoint.service);
-        let stuck_ms = stuck_ms.map(|stuck_ms| stuck_ms + cold_ms);
-        stuck_ms.filter(|stuck_ms| stuck_ms + needed_ms <= left_ms).unwrap_or(left_ms)
+        let wait_ms = stuck_ms.map_or(0, |ms| ms + cold_ms).max(left_ms / u64::from(attempts));
+        if wait_ms + needed_ms <= left_ms { wait_ms } else { left_ms }
     }
 
     fn to_failure(
--- a/crates/mulberry-direct/src/waiting.rs
+++ b/crates/mulberry-direct/src/waiting.rs
@@ -178,7 +178,7 @@
         {
             let waiting = line.len();
             drop(lines);
-            return Err(self.refuse_waiting(start_by.since(now), waiting, refusal));
+            return Err(self.refuse_waiting(req, start_by.since(now), waiting, refusal));
         }
         let place = line.join(start_by, notify.clone());
         self.metrics.gauge("direct.waiting", line.len() as u64);
@@ -189,12 +189,22 @@
     pub(crate) fn refuse_late(&self, req: &CallerRequest) -> Refusal {
         self.metrics.count("direct.waited_in_vain");
         let detail = "no endpoint had room while there was time to serve the request";
+        self.refuse_busy(req, detail.to_owned())
+    }
+
+    fn refuse_busy(&self, req: &CallerRequest, detail: String) -> Refusal {
         let left_ms = req.due.since(self.clock.now());
         let retry_ms = return_after_ms(left_ms, rand::rng().random());
         Refusal::not_run(RefusalReason::Busy, detail).retry_after(retry_ms)
     }
 
-    fn refuse_waiting(&self, spare_ms: u64, waiting: usize, refusal: LineRefusal) -> Refusal {
+    fn refuse_waiting(
+        &self,
+        req: &CallerRequest,
+        spare_ms: u64,
+        waiting: usize,
+        refusal: LineRefusal,
+    ) -> Refusal {
         let detail = match refusal {
             LineRefusal::TooLate { wait_ms } => format!(
                 "the request could begin in {wait_ms} ms, and must within {spare_ms} ms; {waiting} wait here"
@@ -206,8 +216,7 @@
                 )
             }
         };
-        let retry_ms = return_after_ms(spare_ms, rand::rng().random());
-        Refusal::not_run(RefusalReason::Busy, detail).retry_after(retry_ms)
+        self.refuse_busy(req, detail)
     }
 
     /// Returns what the ready endpoints of a service can do, or none before a run was measured.
