--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -40,8 +40,10 @@
     let runs: Runs = Arc::default();
     let server = Server::start(&network.ip(4, 1), "i-7f3a91c2", SERVICE, SPEED, &runs, &record);
     store.put("servers", &server.id, &server.registration(SPEED.slots));
-    let mut owners: Vec<Process> = (1..=3).map(|n| Process::new(&network, Role::Owner, n)).collect();
-    let mut entries: Vec<Process> = (1..=2).map(|n| Process::new(&network, Role::Entry, n)).collect();
+    let mut owners: Vec<Process> =
+        (1..=3).map(|n| Process::new(&network, Role::Owner, n)).collect();
+    let mut entries: Vec<Process> =
+        (1..=2).map(|n| Process::new(&network, Role::Entry, n)).collect();
     owners.iter_mut().for_each(|p| p.start(store.address, true));
     entries.iter_mut().for_each(|p| p.start(store.address, true));
     wait_until_serving(&entries);
@@ -50,8 +52,9 @@
 
     let ids: Vec<String> = (0..JOBS).map(|n| format!("7c41e09b{n:08x}")).collect();
     for (number, id) in ids.iter().enumerate() {
-        let headers =
-            format!("Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n");
+        let headers = format!(
+            "Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+        );
         let body = job_body(id, PATH, ITEMS);
         let front = fronts[number % fronts.len()];
         let status = call(front, &format!("POST {PATH}{id}"), &headers, &body, DEADLINE_MS).status;
@@ -73,11 +76,18 @@
     let mut statuses = vec![0; JOBS];
     let mut wrong = 0;
     while record.now_s() < changed_s + END_S && listed.iter().any(|n| *n < ITEMS) {
-        for (number, id) in ids.iter().enumerate().filter(|(n, _)| listed[*n] < ITEMS).collect::<Vec<_>>() {
+        for (number, id) in
+            ids.iter().enumerate().filter(|(n, _)| listed[*n] < ITEMS).collect::<Vec<_>>()
+        {
             let line = format!("GET /api/lots/{id}?after={}", listed[number]);
             let page = call(fronts[number % fronts.len()], &line, "", "", READ_MARGIN_MS);
             let read = results(&page.body);
-            record.line(&format!("client reads job {id} after {}: {} with {} results", listed[number], page.status, read.len()));
+            record.line(&format!(
+                "client reads job {id} after {}: {} with {} results",
+                listed[number],
+                page.status,
+                read.len()
+            ));
             statuses[number] = page.status;
             for (item, state, text) in &read {
                 let is_wrong = state == "completed" && !is_whole_text(item, text, SPEED.events);
@@ -107,7 +117,9 @@
     let is_idle = ended_s - last_run_s > CALM_S;
     let status = if wrong > 0 || is_owed && is_idle { BROKEN } else { HELD };
     record.say(match status {
-        BROKEN => "LOST is broken: items of open jobs are listed neither as completed nor as dead_letter",
+        BROKEN => {
+            "LOST is broken: items of open jobs are listed neither as completed nor as dead_letter"
+        }
         _ => "the rule held",
     });
     drop((owners, entries));
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -49,8 +49,10 @@
         let server = Server::start(&network.ip(4, number), &id, SERVICE, SPEED, &runs, &record);
         store.put("servers", &id, &server.registration(SPEED.slots));
     }
-    let mut owners: Vec<Process> = (1..=3).map(|n| Process::new(&network, Role::Owner, n)).collect();
-    let mut entries: Vec<Process> = (1..=2).map(|n| Process::new(&network, Role::Entry, n)).collect();
+    let mut owners: Vec<Process> =
+        (1..=3).map(|n| Process::new(&network, Role::Owner, n)).collect();
+    let mut entries: Vec<Process> =
+        (1..=2).map(|n| Process::new(&network, Role::Entry, n)).collect();
     let mut proxies = Vec::new();
     for (number, owner) in owners.iter_mut().enumerate() {
         let proxy = Proxy::start(&network.ip(5, number as u8 + 1), owner.peer());
@@ -70,15 +72,24 @@
             thread::spawn(move || run_agency(&record, front, number))
         })
         .collect();
-    let done = agencies.into_iter().filter(|_| true).map(|a| a.join().unwrap()).filter(|done| *done).count();
+    let done = agencies.into_iter().map(|a| a.join().unwrap()).filter(|done| *done).count();
     record.say(&format!("{done} of {EARLY_JOBS} early jobs are done"));
     if done < EARLY_JOBS {
         quit("not all early jobs were done");
     }
 
     let id = "9d00e09b52d6a3f8";
-    let headers = format!("Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n");
-    let status = call(fronts[0], &format!("POST {PATH}{id}"), &headers, &job_body(id, PATH, ITEMS), DEADLINE_MS).status;
+    let headers = format!(
+        "Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+    );
+    let status = call(
+        fronts[0],
+        &format!("POST {PATH}{id}"),
+        &headers,
+        &job_body(id, PATH, ITEMS),
+        DEADLINE_MS,
+    )
+    .status;
     record.say(&format!("client hands in job {id} with {ITEMS} items: {status}"));
     if status != 202 {
         quit("the job was not accepted");
@@ -141,7 +152,9 @@
 /// Hands in a job and reads its results until all are listed. Returns whether they are.
 fn run_agency(record: &Record, front: SocketAddr, number: usize) -> bool {
     let id = format!("7c41e09b{number:08x}");
-    let headers = format!("Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n");
+    let headers = format!(
+        "Request-Id: {id}\r\nContent-Type: application/json\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+    );
     let body = job_body(&id, PATH, EARLY_ITEMS);
     let status = call(front, &format!("POST {PATH}{id}"), &headers, &body, DEADLINE_MS).status;
     record.line(&format!("client hands in job {id}: {status}"));
@@ -165,7 +178,10 @@
     let headers = format!("Wait-Ms: {READ_WAIT_MS}\r\n");
     let page = call(front, &line, &headers, "", READ_WAIT_MS + READ_MARGIN_MS);
     let count = results(&page.body).len();
-    record.line(&format!("client reads job {id} after {after} at {front}: {} with {count} results", page.status));
+    record.line(&format!(
+        "client reads job {id} after {after} at {front}: {} with {count} results",
+        page.status
+    ));
     (page.status, count)
 }
 
--- a/review/common-2/harness.rs
+++ b/review/common-2/harness.rs
@@ -19,11 +19,11 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -72,9 +72,23 @@
     }
 }
 
-/// Ends a case that could not run.
+/// The processes that this case has started and not waited for.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// The temporary folder of this case.
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends a case that could not run, and all processes that it started.
 pub fn quit(why: &str) -> ! {
     println!("the case could not run: {why}");
+    if let Ok(children) = CHILDREN.lock() {
+        for child in children.iter() {
+            let _ = Command::new("kill").arg("-KILL").arg(child.to_string()).status();
+        }
+    }
+    if let Ok(Some(folder)) = FOLDER.lock().as_deref() {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(NOT_RUN)
 }
 
@@ -255,7 +269,8 @@
 
 fn try_call(to: SocketAddr, line: &str, headers: &str, body: &str, wait_ms: u64) -> Option<Answer> {
     let until = Instant::now() + Duration::from_millis(wait_ms);
-    let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(1_000.min(wait_ms))).ok()?;
+    let mut stream =
+        TcpStream::connect_timeout(&to, Duration::from_millis(1_000.min(wait_ms))).ok()?;
     stream.set_nodelay(true).ok()?;
     let length = body.len();
     let text = format!(
@@ -498,7 +513,12 @@
                 if let Some(text) = state.object_text(kind, &name) {
                     return (409, text);
                 }
-                state.put(kind, &name, Some(member(&body, "specification").unwrap_or("null")), None);
+                state.put(
+                    kind,
+                    &name,
+                    Some(member(&body, "specification").unwrap_or("null")),
+                    None,
+                );
                 self.state.1.notify_all();
                 (201, state.object_text(kind, &name).unwrap_or_default())
             }
@@ -515,7 +535,8 @@
                 let value = member(&body, if is_status { "status" } else { "specification" });
                 let value = value.unwrap_or("null").to_owned();
                 let object = &state.objects[&key];
-                let same = if is_status { object.status == value } else { object.specification == value };
+                let same =
+                    if is_status { object.status == value } else { object.specification == value };
                 if !same {
                     match is_status {
                         true => state.put(kind, name, None, Some(&value)),
@@ -550,7 +571,10 @@
             let left = until.saturating_duration_since(Instant::now());
             if !new.is_empty() || left.is_zero() {
                 let revision = state.revision;
-                return (200, format!("{{\"events\":[{}],\"current_rev\":{revision}}}", new.join(",")));
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"current_rev\":{revision}}}", new.join(",")),
+                );
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
@@ -614,7 +638,14 @@
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
 impl Server {
-    pub fn start(ip: &str, id: &str, service: &str, speed: Speed, runs: &Runs, record: &Record) -> Self {
+    pub fn start(
+        ip: &str,
+        id: &str,
+        service: &str,
+        speed: Speed,
+        runs: &Runs,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|e| quit(&format!("server: {e}")));
         let address = listener.local_addr().unwrap();
         let server = Self {
@@ -669,7 +700,10 @@
         while let Some(req) = read_request(&mut reader) {
             let id = req.header("request-id").to_owned();
             if req.method == "GET" {
-                let text = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
                 if out.write_all(text.as_bytes()).is_err() {
                     return;
                 }
@@ -869,22 +903,32 @@
         }
         let errors = log.try_clone().unwrap_or_else(|e| quit(&format!("log: {e}")));
         let child = command.stdout(log).stderr(errors).spawn();
-        self.child = Some(child.unwrap_or_else(|e| quit(&format!("{program}: {e}"))));
+        let child = child.unwrap_or_else(|e| quit(&format!("{program}: {e}")));
+        CHILDREN.lock().unwrap().push(child.id());
+        self.child = Some(child);
+    }
+
+    /// Waits for the end of the process.
+    fn reap(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.wait();
+            let id = child.id();
+            CHILDREN.lock().unwrap().retain(|c| *c != id);
+        }
+        self.child = None;
     }
 
     /// Sends a signal to the process, which this case has started.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let _ =
+                Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
         }
     }
 
     /// Waits until the process has ended.
     pub fn wait(&mut self) {
-        if let Some(child) = &mut self.child {
-            let _ = child.wait();
-        }
-        self.child = None;
+        self.reap();
     }
 
     pub fn is_running(&mut self) -> bool {
@@ -902,8 +946,8 @@
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
             let _ = child.kill();
-            let _ = child.wait();
         }
+        self.reap();
     }
 }
 
@@ -920,8 +964,10 @@
         for step in 0..200u8 {
             let octet = 20 + (start - 20).wrapping_add(step) % 200;
             if let Ok(claim) = TcpListener::bind((format!("127.{octet}.0.1").as_str(), 7_649)) {
-                let folder = std::env::temp_dir().join(format!("review-2-{}-{octet}", std::process::id()));
+                let folder =
+                    std::env::temp_dir().join(format!("review-2-{}-{octet}", std::process::id()));
                 fs::create_dir_all(&folder).unwrap_or_else(|e| quit(&format!("folder: {e}")));
+                *FOLDER.lock().unwrap() = Some(folder.clone());
                 return Self { octet, folder, _claim: claim };
             }
         }
@@ -948,7 +994,9 @@
         loop {
             let ready = call(entry.ready(), "GET /api/readiness", "", "", 1_000).status == 200;
             // Nobody knows the job: only an owner that serves says so.
-            if ready && call(entry.front(), "GET /api/lots/none?after=0", "", "", 2_000).status == 404 {
+            if ready
+                && call(entry.front(), "GET /api/lots/none?after=0", "", "", 2_000).status == 404
+            {
                 break;
             }
             if Instant::now() > until {
@@ -1067,7 +1115,12 @@
                         break;
                     }
                 }
-                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                    ) =>
+                {
                     if ended.load(Ordering::Relaxed) {
                         break;
                     }
