--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -1,18 +1,22 @@
 //! Calls on batch jobs, which entries and owners send to the owner over links.
 
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::Instant;
 
 use mulberry_link::LinkConnection;
 use mulberry_link::LinkError;
 use mulberry_protocol::batch_job::CopyBatch;
 use mulberry_protocol::batch_job::ItemProgress;
+use mulberry_protocol::event::Event;
+use mulberry_protocol::log_event;
 use mulberry_protocol::name::ClientName;
 use mulberry_protocol::name::JobId;
 use mulberry_protocol::refusal::Refusal;
@@ -20,6 +24,7 @@
 use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::value_type;
 
+use crate::idle_links::IdleLinks;
 use crate::peers::find_owner;
 use crate::shared::SharedState;
 
@@ -33,8 +38,15 @@
 /// `Retry-After` of calls that got no reply from an owner, in milliseconds.
 const RETRY_AFTER_MS: u32 = 700;
 
-/// Maximum number of idle links to one owner.
-const MAX_IDLE_LINKS: usize = 16;
+/// Time without a sign of life from the owner after which a call is sent over another link as well. The
+/// owner sends one each [`ALIVE_INTERVAL`] while it works on a call.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Interval at which an owner that works on a call sends a sign of life.
+pub(crate) const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Most links over which one call is sent at the same time.
+const MAX_LINKS_PER_CALL: usize = 3;
 
 value_type! {
     /// A call on a batch job, as sent over a link.
@@ -117,6 +129,33 @@
 }
 
 impl JobCall {
+    /// Returns the call for another try in the time that is left, of which waiting for a result may take half.
+    fn for_retry(&self, left: Duration) -> Self {
+        let longest_ms = u64::try_from(left.as_millis() / 2).unwrap_or(u64::MAX);
+        match self.clone() {
+            JobCall::Read { job, after, wait_ms } => {
+                JobCall::Read { job, after, wait_ms: wait_ms.min(longest_ms) }
+            }
+            JobCall::ForAccount { account, call } => {
+                JobCall::ForAccount { account, call: Box::new(call.for_retry(left)) }
+            }
+            call => call,
+        }
+    }
+
+    /// Returns the name of the kind of call, for logs.
+    fn as_str(&self) -> &'static str {
+        match self {
+            JobCall::Submit { .. } => "submit",
+            JobCall::Read { .. } => "read",
+            JobCall::ItemBody { .. } => "item-body",
+            JobCall::End { .. } => "end",
+            JobCall::TakeProgress { .. } => "take-progress",
+            JobCall::KeepCopies(_) => "keep-copies",
+            JobCall::ForAccount { call, .. } => call.as_str(),
+        }
+    }
+
     /// Returns the call as one of the client account's callers, if there is an account.
     pub fn for_account(self, account: Option<ClientName>) -> Self {
         match account {
@@ -130,7 +169,7 @@
 #[derive(Clone)]
 pub struct JobClient {
     shared: Arc<SharedState>,
-    idle: Rc<RefCell<IndexMap<SocketAddr, Vec<LinkConnection>>>>,
+    idle: Rc<IdleLinks>,
 }
 
 impl JobClient {
@@ -153,7 +192,7 @@
             let failure = match owner.filter(|address| Some(*address) != unreachable) {
                 None => CallFailure::NoOwner,
                 Some(address) => {
-                    match tokio::time::timeout(left, self.exchange(address, call)).await {
+                    match tokio::time::timeout(left, self.exchange(address, call, left)).await {
                         Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
                             uncertain |= r.run != RunState::NotRun;
                             CallFailure::NoOwner
@@ -190,7 +229,7 @@
         call: &JobCall,
         timeout: Duration,
     ) -> Option<JobReply> {
-        tokio::time::timeout(timeout, self.exchange(address, call)).await.ok()?.ok()
+        tokio::time::timeout(timeout, self.exchange(address, call, timeout)).await.ok()?.ok()
     }
 
     fn refuse(&self, failure: CallFailure, uncertain: bool) -> JobReply {
@@ -204,32 +243,95 @@
         JobReply::Refused(if uncertain { with_unknown_run_state(refusal) } else { refusal })
     }
 
-    async fn exchange(&self, address: SocketAddr, call: &JobCall) -> Result<JobReply, LinkError> {
-        let taken = self.acquire_link(address).await;
-        let mut link = taken.map_err(as_connect_error)?;
-        link.send(call).await?;
-        let reply = link.receive().await?;
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.entry(address).or_default();
-        if list.len() < MAX_IDLE_LINKS {
-            list.push(link);
+    /// Sends a call to a process and returns the first reply. If nothing is heard for a while, sends it over a
+    /// new link as well: a link can go silent for good without being closed, and the others that are idle
+    /// may have gone silent with it.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        call: &JobCall,
+        left: Duration,
+    ) -> Result<JobReply, LinkError> {
+        let until = Instant::now() + left;
+        let heard_at = Cell::new(Instant::now());
+        let mut limit = SILENCE_LIMIT.min(left / 2);
+        let mut tries = FuturesUnordered::new();
+        tries.push(self.try_once(address, call.clone(), self.idle.take(address), &heard_at));
+        let mut failure = None;
+        loop {
+            tokio::select! {
+                tried = tries.next() => match tried {
+                    Some(Ok(reply)) => return Ok(reply),
+                    Some(Err(e)) => failure = Some(more_uncertain(failure, e)),
+                    None => return Err(failure.unwrap_or(LinkError::Closed)),
+                },
+                () = silence(&heard_at, limit), if tries.len() < MAX_LINKS_PER_CALL => {
+                    self.record_silence(address, call, limit);
+                    let again = call.for_retry(until.saturating_duration_since(Instant::now()));
+                    tries.push(self.try_once(address, again, None, &heard_at));
+                    heard_at.set(Instant::now());
+                    limit *= 2;
+                }
+            }
         }
+    }
+
+    /// Sends a call over an idle link or a new one, and waits for the reply.
+    async fn try_once(
+        &self,
+        address: SocketAddr,
+        call: JobCall,
+        idle: Option<LinkConnection>,
+        heard_at: &Cell<Instant>,
+    ) -> Result<JobReply, LinkError> {
+        let mut link = match idle {
+            Some(link) => link,
+            None => self.open_link(address).await.map_err(as_connect_error)?,
+        };
+        link.send(&call).await?;
+        let reply = link.receive_heard(|| heard_at.set(Instant::now())).await?;
+        self.idle.put_back(address, link);
         Ok(reply)
     }
 
-    async fn acquire_link(&self, address: SocketAddr) -> Result<LinkConnection, LinkError> {
-        loop {
-            let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-            let Some(link) = idle else { break };
-            if !link.is_stale() {
-                return Ok(link);
-            }
-        }
+    async fn open_link(&self, address: SocketAddr) -> Result<LinkConnection, LinkError> {
         let Some(secrets) = self.shared.secrets.load_full() else {
             return Err(LinkError::Connect { source: std::io::ErrorKind::NotConnected.into() });
         };
         LinkConnection::connect(address, &secrets).await
     }
+
+    fn record_silence(&self, address: SocketAddr, call: &JobCall, limit: Duration) {
+        let closed = self.idle.close(address);
+        self.shared.metrics.count("direct.links_silent");
+        log_event!(
+            info,
+            Event::LinkSilent,
+            peer = %address,
+            call = call.as_str(),
+            silent_ms = limit.as_millis() as u64,
+            closed
+        );
+    }
+}
+
+/// Returns when nothing was heard for as long as the limit.
+async fn silence(heard_at: &Cell<Instant>, limit: Duration) {
+    loop {
+        let left = limit.saturating_sub(heard_at.get().elapsed());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
+}
+
+/// Returns the failure of two tries of a call after which more may have happened.
+fn more_uncertain(earlier: Option<LinkError>, later: LinkError) -> LinkError {
+    match earlier {
+        Some(earlier) if matches!(later, LinkError::Connect { .. }) => earlier,
+        _ => later,
+    }
 }
 
 /// Why a call got no reply.
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fingerprint;
 pub mod handler;
 pub mod holds;
+mod idle_links;
 pub mod job_calls;
 mod job_handler;
 pub mod limits;
--- a/crates/mulberry-direct/src/owner/link_server.rs
+++ b/crates/mulberry-direct/src/owner/link_server.rs
@@ -1,5 +1,6 @@
 //! Accepts links from entries and other owners, and serves their calls, one at a time on each link.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use mulberry_link::LinkConnection;
 use mulberry_policy::memory_budget::HolderId;
@@ -14,7 +16,9 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 
+use crate::job_calls::ALIVE_INTERVAL;
 use crate::job_calls::JobCall;
+use crate::job_calls::JobReply;
 use crate::owner::Owner;
 use crate::owner::dispatch::dispatch_call;
 use crate::shared::SharedState;
@@ -26,6 +30,12 @@
 /// by then.
 const MAX_ROOM_WAIT_MS: u64 = 2_500;
 
+/// Time after which a link without a call is closed, longer than callers keep one.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time for the rest of a call whose beginning is there, and for a reply until the link has taken it.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Interval at which a waiting call looks for room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -82,6 +92,7 @@
     }
 }
 
+/// Serves the calls of one link until its peer closes it, or nothing more comes or goes over it.
 async fn serve_link(owner: Rc<Owner>, stream: TcpStream) {
     let Some(secrets) = owner.shared.secrets.load_full() else { return };
     let mut link = match LinkConnection::accept(stream, &secrets).await {
@@ -91,13 +102,30 @@
             return;
         }
     };
-    // The peer closes the link when it no longer needs it.
-    while let Ok(bytes) = link.next_size().await {
+    // The peer closes the link when it no longer needs it, unless the link has gone silent.
+    while let Ok(Ok(bytes)) = timeout(IDLE_TIMEOUT, link.next_size()).await {
         let Some(_held) = CallBytes::reserve(&owner.shared, bytes).await else { return };
-        let Ok(call) = link.receive::<JobCall>().await else { return };
-        let reply = dispatch_call(&owner, call).await;
-        if link.send(&reply).await.is_err() {
-            return;
+        let Ok(Ok(call)) = timeout(TRANSFER_TIMEOUT, link.receive::<JobCall>()).await else {
+            break;
+        };
+        let reply = dispatch_alive(&owner, &mut link, call).await;
+        match timeout(TRANSFER_TIMEOUT, link.send(&reply)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => break,
+        }
+    }
+    owner.shared.metrics.count("direct.links_idle_closed");
+}
+
+/// Carries out a call, and sends signs of life to its caller meanwhile.
+async fn dispatch_alive(owner: &Rc<Owner>, link: &mut LinkConnection, call: JobCall) -> JobReply {
+    let mut reply = pin!(dispatch_call(owner, call));
+    loop {
+        if let Ok(reply) = timeout(ALIVE_INTERVAL, &mut reply).await {
+            return reply;
         }
+        // A broken link shows when the reply is sent. One that takes nothing must not hold up the call.
+        let _sent = timeout(Duration::ZERO, link.send_alive()).await;
     }
 }
--- a/crates/mulberry-link/src/connection.rs
+++ b/crates/mulberry-link/src/connection.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::SinkExt;
+use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::stream::SplitSink;
 use futures_util::stream::SplitStream;
@@ -84,9 +86,23 @@
         self.frames.send(encode_message(message)?).await.map_err(broken_link)
     }
 
+    /// Sends a sign of life: an empty frame, which the peer passes over. It tells a peer that waits for a
+    /// message that the connection still carries something.
+    pub async fn send_alive(&mut self) -> Result<(), LinkError> {
+        self.frames.send(Bytes::new()).await.map_err(broken_link)
+    }
+
     /// Receives a message.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
-        decode_frame(self.frames.next().await)
+        self.receive_heard(|| {}).await
+    }
+
+    /// Receives a message, and calls `heard` at each sign of life before it.
+    pub async fn receive_heard<T: DeserializeOwned>(
+        &mut self,
+        heard: impl FnMut(),
+    ) -> Result<T, LinkError> {
+        receive_message(&mut self.frames, heard).await
     }
 
     /// Waits for a message and returns its size in bytes, without reading it. The message before it must
@@ -174,7 +190,7 @@
 impl LinkReader {
     /// Receives a message.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
-        decode_frame(self.frames.next().await)
+        receive_message(&mut self.frames, || {}).await
     }
 
     /// Puts the halves of a connection together again. Returns none if they belong to different
@@ -206,6 +222,19 @@
     frames
 }
 
+/// Receives the next frame that is no sign of life.
+async fn receive_message<T: DeserializeOwned>(
+    frames: &mut (impl Stream<Item = Result<BytesMut, std::io::Error>> + Unpin),
+    mut heard: impl FnMut(),
+) -> Result<T, LinkError> {
+    loop {
+        match frames.next().await {
+            Some(Ok(frame)) if frame.is_empty() => heard(),
+            frame => return decode_frame(frame),
+        }
+    }
+}
+
 fn decode_frame<T: DeserializeOwned, B: AsRef<[u8]>>(
     frame: Option<Result<B, std::io::Error>>,
 ) -> Result<T, LinkError> {
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -66,6 +66,8 @@
     PeerUnreadable = 211, "peer record can't be read";
     /// An endpoint's record was removed, but the endpoint stays in use for a grace period.
     EndpointMissing = 212, "endpoint missing, still used";
+    /// Nothing was heard over a link for a while during a call, which is sent over a new one as well.
+    LinkSilent = 213, "link silent";
     /// The process has put a bundle in force.
     BundleInForce = 300, "bundle in force";
     /// A bundle was ignored, since its number is lower than one already seen.
