--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -7,10 +7,11 @@
 mod commit;
 mod conviction_store;
 mod copy;
-mod crashing_items;
 mod dispatch;
 mod drain;
+mod giving_up;
 mod handoff;
+mod job_routes;
 mod lease;
 mod link_server;
 mod load;
@@ -35,6 +36,7 @@
 use mulberry_platform::store::Store;
 use mulberry_policy::item_times::ItemTimes;
 use mulberry_policy::job_log::JobLog;
+use mulberry_policy::job_prospects::JobProspects;
 use mulberry_policy::owner_lease::OwnerLease;
 use mulberry_policy::progress_copies::ProgressCopies;
 use mulberry_protocol::batch_job::ItemProgress;
@@ -42,6 +44,7 @@
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::ClientName;
 use mulberry_protocol::name::JobId;
+use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::time::Millis;
 
 use crate::connection::ConnectionPool;
@@ -57,6 +60,8 @@
 pub(crate) struct ActiveRun {
     /// Load key of the endpoint.
     pub(crate) endpoint: u64,
+    /// Service of the endpoint.
+    pub(crate) service: ServiceName,
     /// Aborts the run and closes its connection.
     pub(crate) abort: AbortHandle,
 }
@@ -84,6 +89,8 @@
     pub(crate) leftovers: Leftovers,
     pub(crate) pending_submissions: IndexMap<JobId, PendingSubmission>,
     pub(crate) runs: IndexMap<ItemKey, ActiveRun>,
+    /// Jobs that have nothing to run at.
+    pub(crate) prospects: JobProspects<JobId>,
     /// Load key of the endpoint on which each item ran last.
     pub(crate) last_endpoints: IndexMap<ItemKey, u64>,
     /// When writing results of each job was last started.
@@ -158,6 +165,7 @@
                 leftovers: Leftovers::default(),
                 pending_submissions: IndexMap::new(),
                 runs: IndexMap::new(),
+                prospects: JobProspects::default(),
                 last_endpoints: IndexMap::new(),
                 last_commit_at: IndexMap::new(),
                 drain_orders: IndexMap::new(),
@@ -203,6 +211,7 @@
             run.abort.abort();
         }
         state.runs.clear();
+        state.prospects.clear();
         let progress = state.open_jobs().map(|(job, log)| {
             (job.clone(), log.unlisted_outputs().map(|o| o.to_progress()).collect::<Vec<_>>())
         });
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use mulberry_policy::batch_share::BatchPlan;
 use mulberry_policy::batch_share::BegunBy;
@@ -21,7 +22,6 @@
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::route::Configuration;
-use mulberry_protocol::route::Route;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
@@ -30,7 +30,8 @@
 use crate::owner::ItemKey;
 use crate::owner::Owner;
 use crate::owner::OwnerState;
-use crate::owner::crashing_items::give_up_crashing_items;
+use crate::owner::giving_up::give_up_items;
+use crate::owner::job_routes::route_of;
 use crate::owner::run::RunSpec;
 use crate::owner::run::run_item;
 
@@ -69,9 +70,9 @@
 
 fn schedule_services(owner: &Rc<Owner>, plan_logs: &mut IndexMap<ServiceName, PlanLog>) {
     let Some(configuration) = owner.shared.configuration.load_full() else { return };
-    give_up_crashing_items(owner, &configuration);
+    give_up_items(owner, &configuration);
     let endpoints = owner.shared.endpoints.load_full();
-    for service in batch_services(&configuration) {
+    for service in services_to_plan(owner, &configuration) {
         let usable: Vec<&EndpointRecord> = endpoints
             .values()
             .filter(|e| e.service == service && e.state == EndpointState::Ready)
@@ -85,6 +86,14 @@
     }
 }
 
+/// Returns the services that get items and those that run some: their online requests may need the slots, also
+/// if a route has gone or points elsewhere now.
+fn services_to_plan(owner: &Owner, configuration: &Configuration) -> IndexSet<ServiceName> {
+    let mut services: IndexSet<ServiceName> = batch_services(configuration).into_iter().collect();
+    services.extend(owner.state.borrow().runs.values().map(|run| run.service.clone()));
+    services
+}
+
 /// Returns the services to which batch routes send their items: the first target of each route that
 /// has a completion time.
 fn batch_services(configuration: &Configuration) -> Vec<ServiceName> {
@@ -110,17 +119,17 @@
     let mut running = Vec::new();
     let mut waiting = Vec::new();
     for (id, log) in state.open_jobs() {
-        let Some(route) = find_route(configuration, &log.route) else { continue };
-        if !route.targets.iter().any(|t| t.service == *service) {
-            continue;
-        }
-        let expected_until = log.known_since + route.batch.retention_ms;
+        let route = route_of(configuration, log);
+        let takes_new = route.is_some_and(|r| r.targets.iter().any(|t| t.service == *service));
+        let retention_ms = route.map_or(0, |r| r.batch.retention_ms);
+        let expected_until = log.known_since + retention_ms;
         for (index, item) in log.items().iter().enumerate() {
             let key = (id.clone(), index);
             let left_ms = state.item_times.remaining_ms(item.progress.events);
             match item.phase {
                 ItemPhase::Running => {
-                    let Some(run) = state.runs.get(&key) else { continue };
+                    let run = state.runs.get(&key).filter(|run| run.service == *service);
+                    let Some(run) = run else { continue };
                     running.push(RunningItem {
                         item: key,
                         endpoint: run.endpoint,
@@ -129,7 +138,9 @@
                         left_ms,
                     });
                 }
-                ItemPhase::Waiting(at) if at <= now && !item.has_unstored_failure() => {
+                ItemPhase::Waiting(at)
+                    if takes_new && at <= now && !item.has_unstored_failure() =>
+                {
                     waiting.push(WaitingItem {
                         last_endpoint: state.last_endpoints.get(&key).copied(),
                         item: key,
@@ -211,10 +222,6 @@
     stable_hash(origin.software.as_str().as_bytes(), service)
 }
 
-fn find_route<'a>(configuration: &'a Configuration, name: &str) -> Option<&'a Route> {
-    configuration.route_by_name(name).map(|r| &**r)
-}
-
 fn apply_plan(
     owner: &Rc<Owner>,
     configuration: &Configuration,
@@ -258,7 +265,7 @@
 ) {
     let generation = state.generation;
     let Some(log) = state.jobs.get_mut(&key.0) else { return };
-    let route = find_route(configuration, &log.route);
+    let route = route_of(configuration, log);
     let max_failed = route.map_or(DEFAULT_MAX_FAILED_RUNS, |r| r.attempts);
     let (host, account) = (log.host.clone(), log.account.clone());
     let Some(item) = log.item_mut(key.1) else { return };
@@ -276,9 +283,9 @@
         generation,
         held_since: Cell::new(None),
     };
-    let endpoint = endpoint.load_key();
+    let (endpoint, service) = (endpoint.load_key(), endpoint.service.clone());
     state.last_endpoints.insert(key.clone(), endpoint);
     let abort = actix_rt::spawn(run_item(owner.clone(), spec)).abort_handle();
-    state.runs.insert(key, ActiveRun { endpoint, abort });
+    state.runs.insert(key, ActiveRun { endpoint, service, abort });
     owner.shared.metrics.count("direct.items_started");
 }
--- a/crates/mulberry-direct/src/owner/submit.rs
+++ b/crates/mulberry-direct/src/owner/submit.rs
@@ -23,12 +23,14 @@
 use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RefusalReason;
 use mulberry_protocol::refusal::RunState;
+use mulberry_protocol::route::Configuration;
 use mulberry_protocol::time::Millis;
 
 use crate::job_calls::JobReply;
 use crate::owner::Owner;
 use crate::owner::OwnerState;
 use crate::owner::PendingSubmission;
+use crate::owner::job_routes::route_of;
 use crate::owner::load::build_job_log;
 use crate::owner::load::insert_job;
 use crate::owner::load::load_job;
@@ -84,11 +86,17 @@
         }
     }
     let tokens: u64 = items.iter().map(|i| i.tokens).sum();
+    let configuration = owner.shared.configuration.load_full();
+    let Some(configuration) = configuration.filter(|c| c.route_by_name(&req.route).is_some())
+    else {
+        return refuse(unknown_route(&req.route));
+    };
     let route: Arc<str> = Arc::from(req.route.as_str());
     {
         let mut state = owner.state.borrow_mut();
-        let waiting = waiting_tokens(&state, &route, req.account.as_ref());
-        let max_tokens = max_waiting_tokens(owner, &route);
+        let waiting = waiting_tokens(&state, &configuration, &route, req.account.as_ref());
+        let max_tokens =
+            configuration.route_by_name(&route).map_or(0, |r| r.batch.max_waiting_tokens);
         if max_tokens > 0 && waiting + tokens > max_tokens {
             log_event!(info, Event::JobRefused, job = %req.job, reason = "over-quota", waiting,
                 account = req.account.as_ref().map_or("", ClientName::as_str), tokens, most = max_tokens);
@@ -262,21 +270,29 @@
 const ITEM_OVERHEAD_BYTES: usize = 400;
 
 /// Returns the tokens of all items of an account that wait or run on a route, those of pending
-/// submissions included.
-fn waiting_tokens(state: &OwnerState, route: &str, account: Option<&ClientName>) -> u64 {
+/// submissions included. Jobs whose own route is gone count where they run.
+fn waiting_tokens(
+    state: &OwnerState,
+    configuration: &Configuration,
+    route: &str,
+    account: Option<&ClientName>,
+) -> u64 {
+    let is_of_route = |log: &JobLog| {
+        *log.route == *route || route_of(configuration, log).is_some_and(|r| *r.name == *route)
+    };
     let jobs = state.jobs.values();
-    let jobs = jobs.filter(|j| &*j.route == route && j.account.as_ref() == account);
+    let jobs = jobs.filter(|j| j.account.as_ref() == account && is_of_route(j));
     let stored: u64 = jobs.map(|j| j.waiting_tokens()).sum();
     let pending = state.pending_submissions.values();
     let pending = pending.filter(|s| &*s.route == route && s.account.as_ref() == account);
     stored + pending.map(|s| s.tokens).sum::<u64>()
 }
 
-/// Returns the limit of tokens that may wait on a route, or zero for no limit.
-fn max_waiting_tokens(owner: &Owner, route: &str) -> u64 {
-    let configuration = owner.shared.configuration.load();
-    let route = configuration.as_ref().and_then(|c| c.route_by_name(route));
-    route.map_or(0, |r| r.batch.max_waiting_tokens)
+/// Returns the refusal of a job for whose route this process has no limits: its configuration is older or
+/// newer than that of the entry, which asks again.
+fn unknown_route(route: &str) -> Refusal {
+    let detail = format!("the configuration in force here has no route {route:?}");
+    Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS)
 }
 
 /// Returns the refusal of a process that does not own the batch jobs.
--- a/crates/mulberry-policy/src/job_log.rs
+++ b/crates/mulberry-policy/src/job_log.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Returns the path of the job's requests, that of its first item.
+    pub fn path(&self) -> &str {
+        self.items.first().map_or("", |state| &state.item.path)
+    }
+
     /// Returns the items in the order of submission.
     pub fn items(&self) -> &[ItemState] {
         &self.items
@@ -321,6 +326,11 @@
         Some(item)
     }
 
+    /// Gives up all items that wait, and queues their results. Returns their number.
+    pub fn give_up_waiting(&mut self) -> usize {
+        (0..self.items.len()).filter(|index| self.give_up(*index).is_some()).count()
+    }
+
     /// Returns the number and the content of the next segment to write, or none if a write is in
     /// progress or there is nothing to write.
     pub fn begin_segment(&mut self) -> Option<(u32, Segment)> {
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod item_times;
 pub mod job_log;
 pub mod job_origin;
+pub mod job_prospects;
 pub mod job_queue;
 pub mod leaving_endpoints;
 pub mod membership;
--- a/crates/mulberry-protocol/src/event.rs
+++ b/crates/mulberry-protocol/src/event.rs
@@ -126,6 +126,8 @@
     ProgressCopyStarted = 421, "copying of progress started";
     /// An item that crashes endpoints was given up at the end of its retention time.
     ItemGivenUp = 422, "item given up";
+    /// The waiting items of a job were listed as given up, since nothing can run them any more.
+    ItemsStranded = 423, "stranded items given up";
     /// A call to the object API failed.
     StoreFailed = 500, "object API failed";
     /// The object API answers again.
--- a/crates/mulberry-protocol/src/route.rs
+++ b/crates/mulberry-protocol/src/route.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the targets that get requests: those whose weight is not zero.
+    pub fn open_targets(&self) -> impl Iterator<Item = &RouteTarget> {
+        self.targets.iter().filter(|t| t.weight > 0)
+    }
+
     /// Picks a service by weight, given a random number that is uniform over `u64`. Returns `None`
     /// if all weights are zero.
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
@@ -137,6 +142,15 @@
             .max_by_key(|r| r.path_start.len())
     }
 
+    /// Returns the route to which the items of a batch job belong: the one that took the job or, if there is
+    /// none of that name any more, the batch route that takes such requests now. To the job's caller that
+    /// is the same route under another name.
+    pub fn route_of_job(&self, name: &str, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let takes_jobs = |route: &&Arc<Route>| route.kind == RouteKind::Batch;
+        let named = self.route_by_name(name).filter(takes_jobs);
+        named.or_else(|| self.find_route(host, path).filter(takes_jobs))
+    }
+
     /// Returns the route with the given name.
     pub fn route_by_name(&self, name: &str) -> Option<&Arc<Route>> {
         self.routes.iter().find(|r| &*r.name == name)
