--- a/crates/mulberry-direct/src/choice.rs
+++ b/crates/mulberry-direct/src/choice.rs
@@ -62,23 +62,23 @@
 }
 
 impl Relay {
-    /// Chooses a ready endpoint that has not been tried, has room, and may get a request within the limit
-    /// that it names; of the origin, if the request continues a stream. Waits for room as long as the
+    /// Chooses a ready endpoint of the service that has not been tried, has room, and may get a request within
+    /// the limit that it names; of the origin, if the request continues a stream. Waits for room as long as the
     /// request can still be served in its time. Returns the refusal to send if there is none.
     pub async fn choose_within_limits(
         &self,
         req: &CallerRequest,
+        service: &ServiceName,
         tried: &[EndpointName],
         origin: Option<&StreamOrigin>,
         turn: Turn,
     ) -> Result<EndpointChoice, Refusal> {
-        let service = self.pick_service(req, origin)?;
         if tried.is_empty() {
-            self.shared.take_fair_place(req, &service)?;
+            self.shared.take_fair_place(req, service)?;
         }
         let chosen = match (tried, origin) {
-            ([], None) => self.choose_in_turn(req, &service, turn).await?,
-            _ => self.choose_beside(req, &service, tried, origin).await?,
+            ([], None) => self.choose_in_turn(req, service, turn).await?,
+            _ => self.choose_beside(req, service, tried, origin).await?,
         };
         req.place.confirm();
         Ok(chosen)
@@ -176,7 +176,7 @@
         tried: &[EndpointName],
         origin: Option<&StreamOrigin>,
     ) -> Result<EndpointChoice, Refusal> {
-        let service = self.pick_service(req, origin)?;
+        let service = self.pick_service(req, tried, origin)?;
         let choices = self.choices(req, &service, tried, origin)?;
         let chosen = choices.choose()?;
         Ok(self.to_choice(&choices, chosen))
@@ -189,14 +189,20 @@
             .retry_after(return_after_ms(left_ms, rand::rng().random()))
     }
 
-    fn pick_service(
+    /// Picks the service for a request, that of the origin if it continues a stream. Endpoints that were tried
+    /// don't count. Returns the refusal to send if the route has none.
+    pub(crate) fn pick_service(
         &self,
         req: &CallerRequest,
+        tried: &[EndpointName],
         origin: Option<&StreamOrigin>,
     ) -> Result<ServiceName, Refusal> {
         let picked = match origin {
             Some(origin) => Some(&origin.service),
-            None => req.route.pick_service(rand::rng().random()),
+            None => {
+                let is_tried = |e: &EndpointRecord| tried.contains(&e.name);
+                self.shared.pick_service(&req.route, rand::rng().random(), is_tried)
+            }
         };
         picked.cloned().ok_or_else(|| self.no_endpoint(req))
     }
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod relay;
 pub mod request_scope;
 pub mod run_watch;
+mod service_choice;
 pub mod settings;
 pub mod shared;
 pub mod silence;
--- a/crates/mulberry-direct/src/owner/mod.rs
+++ b/crates/mulberry-direct/src/owner/mod.rs
@@ -53,6 +53,9 @@
 
 pub use process::run_owner;
 
+/// Time for which an endpoint counts as out of reach after an item could not be sent to it, in milliseconds.
+const UNREACHED_MS: u64 = 1_000;
+
 /// Identifies an item by its job and its index in that job.
 pub(crate) type ItemKey = (JobId, usize);
 
@@ -93,6 +96,9 @@
     pub(crate) prospects: JobProspects<JobId>,
     /// Load key of the endpoint on which each item ran last.
     pub(crate) last_endpoints: IndexMap<ItemKey, u64>,
+    /// Load keys of endpoints that an item could lately not be sent to, and until when they count as out of
+    /// reach.
+    pub(crate) unreached: IndexMap<u64, Millis>,
     /// When writing results of each job was last started.
     pub(crate) last_commit_at: IndexMap<JobId, Millis>,
     /// VMs that are to be drained, each with the revision of its drain order.
@@ -112,6 +118,12 @@
         self.jobs.iter().filter(|(_, log)| !log.is_settled())
     }
 
+    /// Records that an item could not be sent to an endpoint.
+    pub(crate) fn record_unreached(&mut self, endpoint: u64, now: Millis) {
+        self.unreached.retain(|_, until| now < *until);
+        self.unreached.insert(endpoint, now + UNREACHED_MS);
+    }
+
     /// Imports the progress that an earlier owner made on a job's items, and aborts the runs that
     /// were behind it.
     pub(crate) fn import_progress(&mut self, job: &JobId, items: Vec<ItemProgress>, now: Millis) {
@@ -167,6 +179,7 @@
                 runs: IndexMap::new(),
                 prospects: JobProspects::default(),
                 last_endpoints: IndexMap::new(),
+                unreached: IndexMap::new(),
                 last_commit_at: IndexMap::new(),
                 drain_orders: IndexMap::new(),
                 closed_drain_orders: IndexSet::new(),
@@ -219,6 +232,7 @@
         state.jobs.clear();
         state.pending_submissions.clear();
         state.last_endpoints.clear();
+        state.unreached.clear();
         state.last_commit_at.clear();
         drop(state);
         self.set_owned_generation(None);
--- a/crates/mulberry-direct/src/owner/run.rs
+++ b/crates/mulberry-direct/src/owner/run.rs
@@ -83,8 +83,14 @@
             (RunOutcome::Broken, detail)
         }
         Err(e @ (ExchangeError::NotRun { .. } | ExchangeError::NotSent { .. })) => {
-            if let ExchangeError::NotRun { notice, .. } = e {
-                owner.shared.record_notice(&spec.endpoint, notice);
+            match e {
+                ExchangeError::NotRun { notice, .. } => {
+                    owner.shared.record_notice(&spec.endpoint, notice);
+                }
+                _ => {
+                    let mut state = owner.state.borrow_mut();
+                    state.record_unreached(spec.endpoint.load_key(), owner.now());
+                }
             }
             (RunOutcome::NotRun, e.to_string())
         }
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -2,10 +2,10 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use mulberry_policy::batch_share::BatchPlan;
 use mulberry_policy::batch_share::BegunBy;
@@ -22,6 +22,7 @@
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::ServiceName;
 use mulberry_protocol::route::Configuration;
+use mulberry_protocol::route::Route;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::time::Millis;
 
@@ -31,9 +32,13 @@
 use crate::owner::Owner;
 use crate::owner::OwnerState;
 use crate::owner::giving_up::give_up_items;
+use crate::owner::job_routes::BatchServices;
+use crate::owner::job_routes::Round;
+use crate::owner::job_routes::WaitingAt;
 use crate::owner::job_routes::route_of;
 use crate::owner::run::RunSpec;
 use crate::owner::run::run_item;
+use crate::shared::Endpoints;
 
 /// Interval between plans, in milliseconds. Events that may allow items to start cause a plan at
 /// once.
@@ -68,43 +73,51 @@
     stops: usize,
 }
 
+/// What the plans of one round over all services have in common.
+struct PlanContext {
+    configuration: Arc<Configuration>,
+    endpoints: Arc<Endpoints>,
+    services: BatchServices,
+}
+
 fn schedule_services(owner: &Rc<Owner>, plan_logs: &mut IndexMap<ServiceName, PlanLog>) {
     let Some(configuration) = owner.shared.configuration.load_full() else { return };
     give_up_items(owner, &configuration);
+    let services = BatchServices::list(owner, &configuration);
     let endpoints = owner.shared.endpoints.load_full();
-    for service in services_to_plan(owner, &configuration) {
-        let usable: Vec<&EndpointRecord> = endpoints
-            .values()
-            .filter(|e| e.service == service && e.state == EndpointState::Ready)
-            .filter(|e| !owner.shared.leaving().is_leaving(e))
-            .collect();
-        let work = collect_work(owner, &configuration, &service);
-        let capacity = endpoint_capacity(owner, &usable);
-        let plan = plan_batch(&capacity, &work.running, &work.waiting, owner.now());
-        log_plan(owner, plan_logs.entry(service).or_default(), &capacity, &work, &plan);
-        apply_plan(owner, &configuration, plan, &usable);
+    let cx = PlanContext { configuration, endpoints, services };
+    // Services that run items have online requests which may need the slots, also if a route has gone or
+    // points elsewhere now.
+    let mut planned = cx.services.all.clone();
+    planned.extend(owner.state.borrow().runs.values().map(|run| run.service.clone()));
+    for service in planned {
+        let plan_log = plan_logs.entry(service.clone()).or_default();
+        plan_service(owner, &cx, &service, Round::OwnShare, plan_log);
+    }
+    for service in &cx.services.open_of_split {
+        let plan_log = plan_logs.entry(service.clone()).or_default();
+        plan_service(owner, &cx, service, Round::Overflow, plan_log);
     }
 }
 
-/// Returns the services that get items and those that run some: their online requests may need the slots, also
-/// if a route has gone or points elsewhere now.
-fn services_to_plan(owner: &Owner, configuration: &Configuration) -> IndexSet<ServiceName> {
-    let mut services: IndexSet<ServiceName> = batch_services(configuration).into_iter().collect();
-    services.extend(owner.state.borrow().runs.values().map(|run| run.service.clone()));
-    services
-}
-
-/// Returns the services to which batch routes send their items: the first target of each route that
-/// has a completion time.
-fn batch_services(configuration: &Configuration) -> Vec<ServiceName> {
-    let mut services: Vec<ServiceName> = Vec::new();
-    for route in &configuration.routes {
-        let Some(target) = route.targets.first() else { continue };
-        if route.batch.completion_ms > 0 && !services.contains(&target.service) {
-            services.push(target.service.clone());
-        }
-    }
-    services
+fn plan_service(
+    owner: &Rc<Owner>,
+    cx: &PlanContext,
+    service: &ServiceName,
+    round: Round,
+    plan_log: &mut PlanLog,
+) {
+    let usable: Vec<&EndpointRecord> = cx
+        .endpoints
+        .values()
+        .filter(|e| e.service == *service && e.state == EndpointState::Ready)
+        .filter(|e| !owner.shared.leaving().is_leaving(e))
+        .collect();
+    let work = collect_work(owner, cx, service, round);
+    let capacity = endpoint_capacity(owner, &usable);
+    let plan = plan_batch(&capacity, &work.running, &work.waiting, owner.now());
+    log_plan(owner, service, plan_log, &capacity, &work, &plan);
+    apply_plan(owner, &cx.configuration, plan, &usable);
 }
 
 /// Items of a service that are running or ready to run.
@@ -113,16 +126,18 @@
     waiting: Vec<WaitingItem<ItemKey>>,
 }
 
-fn collect_work(owner: &Owner, configuration: &Configuration, service: &ServiceName) -> BatchWork {
+fn collect_work(owner: &Owner, cx: &PlanContext, service: &ServiceName, round: Round) -> BatchWork {
     let now = owner.now();
     let state = owner.state.borrow();
-    let mut running = Vec::new();
-    let mut waiting = Vec::new();
+    let mut work = BatchWork { running: Vec::new(), waiting: Vec::new() };
+    let runs_some = state.runs.values().any(|run| run.service == *service);
     for (id, log) in state.open_jobs() {
-        let route = route_of(configuration, log);
-        let takes_new = route.is_some_and(|r| r.targets.iter().any(|t| t.service == *service));
-        let retention_ms = route.map_or(0, |r| r.batch.retention_ms);
-        let expected_until = log.known_since + retention_ms;
+        let route = route_of(&cx.configuration, log);
+        let is_target = |r: &Route| r.open_targets().any(|t| t.service == *service);
+        if !runs_some && !route.is_some_and(is_target) {
+            continue;
+        }
+        let expected_until = log.known_since + route.map_or(0, |r| r.batch.retention_ms);
         for (index, item) in log.items().iter().enumerate() {
             let key = (id.clone(), index);
             let left_ms = state.item_times.remaining_ms(item.progress.events);
@@ -130,7 +145,7 @@
                 ItemPhase::Running => {
                     let run = state.runs.get(&key).filter(|run| run.service == *service);
                     let Some(run) = run else { continue };
-                    running.push(RunningItem {
+                    work.running.push(RunningItem {
                         item: key,
                         endpoint: run.endpoint,
                         due_at: log.due_at,
@@ -138,10 +153,14 @@
                         left_ms,
                     });
                 }
-                ItemPhase::Waiting(at)
-                    if takes_new && at <= now && !item.has_unstored_failure() =>
-                {
-                    waiting.push(WaitingItem {
+                ItemPhase::Waiting(at) if at <= now && !item.has_unstored_failure() => {
+                    let Some(route) = route else { continue };
+                    let latest_start = Millis(log.due_at.0.saturating_sub(left_ms));
+                    let waiting = WaitingAt { route, item, latest_start };
+                    if !cx.services.takes(service, &waiting, round, now) {
+                        continue;
+                    }
+                    work.waiting.push(WaitingItem {
                         last_endpoint: state.last_endpoints.get(&key).copied(),
                         item: key,
                         due_at: log.due_at,
@@ -157,12 +176,13 @@
             }
         }
     }
-    BatchWork { running, waiting }
+    work
 }
 
 /// Logs what was planned for a service, once a second while it has items.
 fn log_plan(
     owner: &Owner,
+    service: &ServiceName,
     plan_log: &mut PlanLog,
     capacity: &[SharedEndpoint],
     work: &BatchWork,
@@ -178,6 +198,7 @@
     log_event!(
         info,
         Event::BatchPlanned,
+        service = %service,
         endpoints = capacity.iter().filter(|e| e.open).count(),
         slots = capacity.iter().map(|e| e.slots).sum::<u32>(),
         online = capacity.iter().map(|e| e.online).sum::<u32>(),
--- a/crates/mulberry-direct/src/relay.rs
+++ b/crates/mulberry-direct/src/relay.rs
@@ -208,12 +208,14 @@
         origin: Option<&StreamOrigin>,
     ) -> Result<EndpointChoice, Refusal> {
         let has_trial = attempts.has_trial && attempts.may_have_run == 0;
-        let permission = || match req.route.targets.first() {
-            Some(target) if !has_trial => self.shared.check_permission(req.keys(), &target.service),
-            Some(_) | None => Ok(Vec::new()),
+        let service = self.pick_service(req, &attempts.tried, origin)?;
+        let permission = || match has_trial {
+            true => Ok(Vec::new()),
+            false => self.shared.check_permission(req.keys(), &service),
         };
         permission()?;
-        let choosing = self.choose_within_limits(req, &attempts.tried, origin, attempts.turn);
+        let choosing =
+            self.choose_within_limits(req, &service, &attempts.tried, origin, attempts.turn);
         let choice = choosing.await?;
         // While it waited for room, its key may have been removed, and it may have been convicted.
         require_key(&self.shared, req)?;
--- a/crates/mulberry-direct/src/stream_body.rs
+++ b/crates/mulberry-direct/src/stream_body.rs
@@ -20,6 +20,7 @@
 use mulberry_protocol::event::Event;
 use mulberry_protocol::log_event;
 use mulberry_protocol::name::EndpointName;
+use mulberry_protocol::refusal::Refusal;
 use mulberry_protocol::refusal::RunState;
 use mulberry_protocol::stream_origin::StreamOrigin;
 use mulberry_protocol::stream_origin::stream_key;
@@ -230,6 +231,13 @@
         (!new.is_empty()).then(|| Bytes::from(new))
     }
 
+    /// Chooses another endpoint to go on at.
+    async fn choose_again(&self, origin: Option<&StreamOrigin>) -> Result<EndpointChoice, Refusal> {
+        let (relay, tried) = (&self.relay, &self.tried);
+        let service = relay.pick_service(&self.req, tried, origin)?;
+        relay.choose_within_limits(&self.req, &service, tried, origin, Turn::Again).await
+    }
+
     /// Continues the stream at another endpoint after the last event that was passed on. Returns
     /// false if no endpoint takes it over.
     async fn resume(&mut self) -> bool {
@@ -247,10 +255,7 @@
                 return false;
             }
             let origin = origin.as_ref();
-            let choice =
-                self.relay.choose_within_limits(&self.req, &self.tried, origin, Turn::Again);
-            let choice = choice.await;
-            let Ok(choice) = choice else { return false };
+            let Ok(choice) = self.choose_again(origin).await else { return false };
             if let Some(origin) = origin
                 && !self.confirm_origin(&choice, origin).await
             {
--- a/crates/mulberry-protocol/src/route.rs
+++ b/crates/mulberry-protocol/src/route.rs
@@ -89,22 +89,35 @@
         self.targets.iter().filter(|t| t.weight > 0)
     }
 
-    /// Picks a service by weight, given a random number that is uniform over `u64`. Returns `None`
-    /// if all weights are zero.
-    pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
-        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
-        let mut offset = random.checked_rem(total)?;
-        for target in &self.targets {
-            let weight = u64::from(target.weight);
-            if offset < weight {
-                return Some(&target.service);
-            }
-            offset -= weight;
+    /// Picks a service by weight, given a random number that is uniform over `u64`: among those that are
+    /// usable now or, if none is, among all. Returns `None` if all weights are zero.
+    pub fn pick_service(
+        &self,
+        random: u64,
+        is_usable: impl Fn(&ServiceName) -> bool,
+    ) -> Option<&ServiceName> {
+        let usable = self.open_targets().filter(|t| is_usable(&t.service));
+        let usable: Vec<&RouteTarget> = usable.collect();
+        if usable.is_empty() {
+            return pick_by_weight(&self.open_targets().collect::<Vec<_>>(), random);
         }
-        None
+        pick_by_weight(&usable, random)
     }
 }
 
+fn pick_by_weight<'a>(targets: &[&'a RouteTarget], random: u64) -> Option<&'a ServiceName> {
+    let total: u64 = targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut offset = random.checked_rem(total)?;
+    for target in targets {
+        let weight = u64::from(target.weight);
+        if offset < weight {
+            return Some(&target.service);
+        }
+        offset -= weight;
+    }
+    None
+}
+
 value_type! {
     /// Limits on what callers send.
     pub struct CallerLimits {
