--- a/crates/mulberry-ctl/src/fleet.rs
+++ b/crates/mulberry-ctl/src/fleet.rs
@@ -1,12 +1,12 @@
 //! `fleet`: shows each entry and side with its state, bundle and load.
 
-use std::time::Duration;
-
-use awc::Client;
+use bytes::Bytes;
+use hyper::Method;
 use serde::Deserialize;
 use serde::Serialize;
 
-use mulberry_platform::http::new_client;
+use mulberry_platform::http_client::HttpClient;
+use mulberry_platform::http_client::request;
 use mulberry_protocol::heartbeat::Presence;
 
 use crate::context::CtlContext;
@@ -65,7 +65,7 @@
 /// Asks every configured entry for its status, and returns the entries and the sides they know. A
 /// side that several entries know is listed once, as the first of them sees it.
 pub(crate) async fn read_fleet(cx: &CtlContext) -> Result<Vec<FleetRow>, CtlError> {
-    let client = new_client(STATUS_TIMEOUT_MS);
+    let client = HttpClient::new(STATUS_TIMEOUT_MS);
     let mut rows: Vec<FleetRow> = Vec::new();
     let entries = cx.settings.entries.clone().unwrap_or_default();
     for address in entries.split(',').map(str::trim).filter(|a| !a.is_empty()) {
@@ -85,12 +85,9 @@
     Ok(rows)
 }
 
-async fn read_entry_status(client: &Client, address: &str) -> Option<EntryStatus> {
-    let sent = client
-        .get(format!("http://{address}/status"))
-        .timeout(Duration::from_millis(STATUS_TIMEOUT_MS))
-        .send()
-        .await;
+async fn read_entry_status(client: &HttpClient, address: &str) -> Option<EntryStatus> {
+    let url = format!("http://{address}/status");
+    let sent = client.send(request(Method::GET, &url), Bytes::new()).await;
     sent.ok()?.json().await.ok()
 }
 
--- a/crates/mulberry-platform/src/http.rs
+++ b/crates/mulberry-platform/src/http.rs
@@ -1,5 +1,6 @@
-//! Creates HTTP clients with the timeouts and connection limits that all calls between processes of
-//! the system share.
+//! Timeouts and connection limits that the HTTP calls of all processes share, and a client for callers in
+//! trials, which can't tell a body that breaks off from a whole one. Processes use
+//! [`crate::http_client::HttpClient`].
 
 use std::time::Duration;
 
@@ -7,14 +8,14 @@
 use awc::Connector;
 
 /// Connections that one client keeps open to each host.
-const CONNECTIONS_PER_HOST: usize = 512;
+pub(crate) const CONNECTIONS_PER_HOST: usize = 512;
 
 /// Timeout for opening a connection, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
 /// Time for which an idle connection is kept open, in milliseconds. Servers keep theirs open
 /// longer, so that a request is never sent on a connection that the server is closing.
-const KEEP_ALIVE_TIMEOUT_MS: u64 = 3_000;
+pub(crate) const KEEP_ALIVE_TIMEOUT_MS: u64 = 3_000;
 
 /// Creates a client that does not follow redirects and whose calls time out after `timeout_ms`
 /// unless a request sets its own timeout.
--- a/crates/mulberry-platform/src/lib.rs
+++ b/crates/mulberry-platform/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod error;
 pub mod http;
+pub mod http_client;
 pub mod object_api;
 pub mod object_http;
 pub mod response;
--- a/crates/mulberry-platform/src/object_http.rs
+++ b/crates/mulberry-platform/src/object_http.rs
@@ -1,18 +1,18 @@
 //! Client of the object API over HTTP.
 
-use std::time::Duration;
-
-use awc::Client;
-use awc::ClientRequest;
-use awc::http::StatusCode;
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::header::AUTHORIZATION;
+use hyper::http::request::Builder;
 
 use crate::error::PlatformError;
-use crate::http::new_client;
+use crate::http_client::HttpClient;
+use crate::http_client::request;
 use crate::object_api::ListPage;
 use crate::object_api::ListQuery;
 use crate::object_api::MAX_VALUE_BYTES;
@@ -41,10 +41,13 @@
 /// Largest response to a list or watch accepted, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024 * 1024;
 
+/// Largest response to a write accepted, in bytes.
+const MAX_WRITE_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// Makes the calls of the object API over HTTP, with one pool of connections per client.
 #[derive(Clone)]
 pub struct HttpObjectApi {
-    client: Client,
+    client: HttpClient,
     base_url: String,
     token: Option<String>,
 }
@@ -53,12 +56,15 @@
     /// Creates a client of the API at `address`, which sends `token`, if any, as a bearer token.
     /// Connects on the first call.
     pub fn new(address: &str, token: Option<String>) -> Self {
-        Self { client: new_client(CALL_TIMEOUT_MS), base_url: format!("http://{address}"), token }
+        let client = HttpClient::new(CALL_TIMEOUT_MS);
+        Self { client, base_url: format!("http://{address}"), token }
     }
 
-    fn authorize(&self, req: ClientRequest) -> ClientRequest {
+    /// Returns a request that bears the token, if there is one.
+    fn request(&self, method: Method, url: &str) -> Builder {
+        let req = request(method, url);
         match &self.token {
-            Some(token) => req.bearer_auth(token),
+            Some(token) => req.header(AUTHORIZATION, format!("Bearer {token}")),
             None => req,
         }
     }
@@ -70,10 +76,11 @@
 
 impl ObjectApi for HttpObjectApi {
     fn read(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<Object>, PlatformError>> {
-        let req = self.authorize(self.client.get(self.object_url(key)));
+        let req = self.request(Method::GET, &self.object_url(key));
         let key = key.to_owned();
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("read", e))?;
+            let sent = self.client.send(req, Bytes::new()).await;
+            let response = sent.map_err(|e| no_answer("read", e))?;
             if response.status() == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
@@ -84,7 +91,7 @@
                 .and_then(|v| v.to_str().ok())
                 .and_then(|v| v.parse().ok())
                 .ok_or_else(|| bad_answer("read", "no version"))?;
-            let body = response.body().limit(MAX_VALUE_BYTES * 2).await;
+            let body = response.read(MAX_VALUE_BYTES * 2).await;
             let value = body.map_err(|e| no_answer("read", e))?;
             Ok(Some(Object { key, version, value }))
         }
@@ -98,19 +105,21 @@
         condition: WriteCondition,
     ) -> LocalBoxFuture<'_, Result<u64, PlatformError>> {
         let bytes = value.len();
-        let req = self.authorize(self.client.put(self.object_url(key)));
+        let req = self.request(Method::PUT, &self.object_url(key));
         let req = match condition {
-            WriteCondition::Absent => req.insert_header(("if-none-match", "*")),
-            WriteCondition::Version(v) => req.insert_header(("if-match", v.to_string())),
+            WriteCondition::Absent => req.header("if-none-match", "*"),
+            WriteCondition::Version(v) => req.header("if-match", v.to_string()),
         };
         let key = key.to_owned();
         async move {
             if bytes > MAX_VALUE_BYTES {
                 return Err(PlatformError::TooLarge { bytes });
             }
-            let mut response = req.send_body(value).await.map_err(|e| no_answer("write", e))?;
+            let sent = self.client.send(req, value).await;
+            let response = sent.map_err(|e| no_answer("write", e))?;
             check_key_status("write", &key, response.status())?;
-            let body = response.body().await.map_err(|e| no_answer("write", e))?;
+            let body = response.read(MAX_WRITE_RESPONSE_BYTES).await;
+            let body = body.map_err(|e| no_answer("write", e))?;
             let document: VersionDocument = parse_response("write", &body)?;
             Ok(document.version)
         }
@@ -118,11 +127,12 @@
     }
 
     fn delete(&self, key: &str, version: u64) -> LocalBoxFuture<'_, Result<(), PlatformError>> {
-        let req = self.authorize(self.client.delete(self.object_url(key)));
-        let req = req.insert_header(("if-match", version.to_string()));
+        let req = self.request(Method::DELETE, &self.object_url(key));
+        let req = req.header("if-match", version.to_string());
         let key = key.to_owned();
         async move {
-            let response = req.send().await.map_err(|e| no_answer("delete", e))?;
+            let sent = self.client.send(req, Bytes::new()).await;
+            let response = sent.map_err(|e| no_answer("delete", e))?;
             match response.status() {
                 StatusCode::NOT_FOUND => Ok(()),
                 status => check_key_status("delete", &key, status),
@@ -137,11 +147,12 @@
             "{}/list?prefix={}&limit={}&values={}{after}",
             self.base_url, query.prefix, query.limit, query.values
         );
-        let req = self.authorize(self.client.get(url));
+        let req = self.request(Method::GET, &url);
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("list", e))?;
+            let sent = self.client.send(req, Bytes::new()).await;
+            let response = sent.map_err(|e| no_answer("list", e))?;
             check_key_status("list", &query.prefix, response.status())?;
-            let body = response.body().limit(MAX_RESPONSE_BYTES).await;
+            let body = response.read(MAX_RESPONSE_BYTES).await;
             let body = body.map_err(|e| no_answer("list", e))?;
             let document: ObjectsDocument = parse_response("list", &body)?;
             let objects: Result<Vec<Object>, PlatformError> =
@@ -161,13 +172,14 @@
             "{}/watch?prefix={prefix}&revision={revision}&wait-ms={wait_ms}",
             self.base_url
         );
-        let req = self.authorize(self.client.get(url));
-        let req = req.timeout(Duration::from_millis(wait_ms + WATCH_TIMEOUT_MARGIN_MS));
+        let req = self.request(Method::GET, &url);
+        let client = self.client.with_timeout(wait_ms + WATCH_TIMEOUT_MARGIN_MS);
         let prefix = prefix.to_owned();
         async move {
-            let mut response = req.send().await.map_err(|e| no_answer("watch", e))?;
+            let response =
+                client.send(req, Bytes::new()).await.map_err(|e| no_answer("watch", e))?;
             check_key_status("watch", &prefix, response.status())?;
-            let body = response.body().limit(MAX_RESPONSE_BYTES).await;
+            let body = response.read(MAX_RESPONSE_BYTES).await;
             let body = body.map_err(|e| no_answer("watch", e))?;
             let document: ObjectsDocument = parse_response("watch", &body)?;
             let mut events = Vec::with_capacity(document.objects.len());
--- a/crates/mulberry-platform/src/vm_list.rs
+++ b/crates/mulberry-platform/src/vm_list.rs
@@ -3,10 +3,11 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
-use awc::Client;
-use awc::http::StatusCode;
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use hyper::Method;
+use hyper::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,7 +16,8 @@
 use mulberry_protocol::name::ZoneName;
 
 use crate::error::PlatformError;
-use crate::http::new_client;
+use crate::http_client::HttpClient;
+use crate::http_client::request;
 
 /// Timeout of a read of the list, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
@@ -87,7 +89,7 @@
 
 /// Reads the list over HTTP, and sends the last `etag` so that an unchanged list is not sent again.
 pub struct HttpVmList {
-    client: Client,
+    client: HttpClient,
     url: String,
     etag: RefCell<Option<String>>,
 }
@@ -96,7 +98,7 @@
     /// Creates a client of the list served at `address`. Connects on the first read.
     pub fn new(address: &str) -> Self {
         let url = format!("http://{address}/vms");
-        Self { client: new_client(READ_TIMEOUT_MS), url, etag: RefCell::new(None) }
+        Self { client: HttpClient::new(READ_TIMEOUT_MS), url, etag: RefCell::new(None) }
     }
 }
 
@@ -104,23 +106,25 @@
     fn read(&self) -> LocalBoxFuture<'_, Result<VmListRead, PlatformError>> {
         async move {
             let no_answer = |detail: String| PlatformError::NoAnswer { call: "vm list", detail };
-            let mut req = self.client.get(&self.url);
+            let mut req = request(Method::GET, &self.url);
             if let Some(etag) = self.etag.borrow().as_ref() {
-                req = req.insert_header(("if-none-match", etag.as_str()));
+                req = req.header("if-none-match", etag.as_str());
             }
-            let mut response = req.send().await.map_err(|e| no_answer(e.to_string()))?;
+            let sent = self.client.send(req, Bytes::new()).await;
+            let response = sent.map_err(|e| no_answer(e.to_string()))?;
             if response.status() == StatusCode::NOT_MODIFIED {
                 return Ok(VmListRead::Unchanged);
             }
             if !response.status().is_success() {
                 return Err(no_answer(format!("status {}", response.status())));
             }
-            let body = response.body().limit(MAX_LIST_BYTES).await;
+            let etag = response.headers().get("etag").and_then(|v| v.to_str().ok());
+            let etag = etag.map(str::to_owned);
+            let body = response.read(MAX_LIST_BYTES).await;
             let body = body.map_err(|e| no_answer(e.to_string()))?;
             let document: VmListDocument = serde_json::from_slice(&body)
                 .map_err(|e| PlatformError::BadAnswer { call: "vm list", detail: e.to_string() })?;
-            let etag = response.headers().get("etag").and_then(|v| v.to_str().ok());
-            self.etag.replace(etag.map(str::to_owned));
+            self.etag.replace(etag);
             Ok(VmListRead::Changed(document.vms))
         }
         .boxed_local()
--- a/crates/mulberry-side/src/batch.rs
+++ b/crates/mulberry-side/src/batch.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
 use indexmap::IndexMap;
 use serde_json::Value;
 use serde_json::json;
@@ -372,8 +371,8 @@
 }
 
 /// Reads a response that isn't streamed.
-async fn read_body(mut response: EndpointResponse, status: u16) -> AttemptOutcome {
-    match response.body().limit(MAX_RESPONSE_BYTES).await {
+async fn read_body(response: EndpointResponse, status: u16) -> AttemptOutcome {
+    match response.read(MAX_RESPONSE_BYTES).await {
         Ok(body) => AttemptOutcome::Completed(ItemResponse { status, body }),
         Err(e) => AttemptOutcome::Broken(e.to_string()),
     }
--- a/crates/mulberry-side/src/endpoint.rs
+++ b/crates/mulberry-side/src/endpoint.rs
@@ -1,17 +1,17 @@
 //! HTTP client of the endpoint: requests, health checks and engine control calls.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use awc::Client;
-use awc::ClientResponse;
-use awc::error::SendRequestError;
-use awc::http::Method;
 use bytes::Bytes;
+use hyper::Method;
+use hyper::header::CONTENT_TYPE;
 use serde::Deserialize;
 use serde_json::json;
 
-use mulberry_platform::http::new_client;
+use mulberry_platform::http_client::HttpClient;
+use mulberry_platform::http_client::HttpError;
+use mulberry_platform::http_client::HttpResponse;
+use mulberry_platform::http_client::request;
 use mulberry_protocol::link::Dispatch;
 
 /// Time allowed for the head of a response to a request, in milliseconds.
@@ -21,12 +21,12 @@
 const CONTROL_CALL_TIMEOUT_MS: u64 = 1_000;
 
 /// Response of the endpoint, whose body is read as a stream of parts.
-pub(crate) type EndpointResponse = ClientResponse;
+pub(crate) type EndpointResponse = HttpResponse;
 
 /// HTTP client of the endpoint. It can't move between threads, so each thread has its own.
 #[derive(Clone)]
 pub(crate) struct EndpointClient {
-    client: Client,
+    client: HttpClient,
     base: String,
 }
 
@@ -64,70 +64,58 @@
 impl EndpointClient {
     /// Creates a client of the endpoint at `address`. Connects on the first call.
     pub fn new(address: SocketAddr) -> Self {
-        Self { client: new_client(RESPONSE_TIMEOUT_MS), base: format!("http://{address}") }
+        Self { client: HttpClient::new(RESPONSE_TIMEOUT_MS), base: format!("http://{address}") }
     }
 
-    /// Sends a request under an identifier, `request`, by which the engine can cancel it and
+    /// Sends a request under an identifier, `id`, by which the engine can cancel it and
     /// records can be searched. `resume` is the handle of a cancelled run and the number of tokens
     /// already received from it.
     pub async fn send(
         &self,
         dispatch: &Dispatch,
-        request: &str,
+        id: &str,
         body: Bytes,
         resume: Option<(&str, u32)>,
-    ) -> Result<EndpointResponse, SendRequestError> {
+    ) -> Result<EndpointResponse, HttpError> {
         let method = Method::from_bytes(dispatch.method.as_bytes()).unwrap_or(Method::POST);
         let url = format!("{}{}", self.base, dispatch.path);
-        let mut req = self
-            .client
-            .request(method, url)
-            .no_decompress()
-            .insert_header(("x-request-id", request.to_owned()));
+        let mut req = request(method, &url).header("x-request-id", id);
         if !dispatch.content_type.is_empty() {
-            req = req.insert_header(("content-type", dispatch.content_type.as_str()));
+            req = req.header(CONTENT_TYPE, dispatch.content_type.as_str());
         }
         if let Some((handle, tokens)) = resume {
-            req = req.insert_header(("x-resume", handle.to_owned()));
-            req = req.insert_header(("x-resume-from", tokens.to_string()));
+            req = req.header("x-resume", handle);
+            req = req.header("x-resume-from", tokens);
         }
-        req.send_body(body).await
+        self.client.send(req, body).await
+    }
+
+    fn control_client(&self) -> HttpClient {
+        self.client.with_timeout(CONTROL_CALL_TIMEOUT_MS)
     }
 
     /// Cancels a request on the engine. Returns the handle to resume it, or none if the call
     /// failed.
-    pub async fn cancel(&self, request: &str) -> Option<String> {
-        let sent = self
-            .client
-            .post(format!("{}/engine/cancel", self.base))
-            .timeout(Duration::from_millis(CONTROL_CALL_TIMEOUT_MS))
-            .send_json(&json!({"request": request}))
-            .await;
-        let mut response = sent.ok()?;
+    pub async fn cancel(&self, id: &str) -> Option<String> {
+        let req = request(Method::POST, &format!("{}/engine/cancel", self.base));
+        let sent = self.control_client().send_json(req, &json!({"request": id})).await;
+        let response = sent.ok()?;
         let report: CancelReport = response.json().await.ok()?;
         Some(report.resume)
     }
 
     /// Returns whether the endpoint answers its health check with success.
     pub async fn is_healthy(&self) -> bool {
-        let sent = self
-            .client
-            .get(format!("{}/health", self.base))
-            .timeout(Duration::from_millis(CONTROL_CALL_TIMEOUT_MS))
-            .send()
-            .await;
+        let req = request(Method::GET, &format!("{}/health", self.base));
+        let sent = self.control_client().send(req, Bytes::new()).await;
         sent.is_ok_and(|r| r.status().is_success())
     }
 
     /// Returns the models that the engine holds and the highest fencing number it has received, or
     /// none if the call failed.
     pub async fn get_orders(&self) -> Option<OrdersReport> {
-        let sent = self
-            .client
-            .get(format!("{}/engine/orders", self.base))
-            .timeout(Duration::from_millis(CONTROL_CALL_TIMEOUT_MS))
-            .send()
-            .await;
+        let req = request(Method::GET, &format!("{}/engine/orders", self.base));
+        let sent = self.control_client().send(req, Bytes::new()).await;
         sent.ok()?.json().await.ok()
     }
 
@@ -141,12 +129,8 @@
         version: &str,
     ) -> OrderOutcome {
         let order = json!({"fence": fence, "action": action, "model": model, "version": version});
-        let sent = self
-            .client
-            .post(format!("{}/engine/orders", self.base))
-            .timeout(Duration::from_millis(CONTROL_CALL_TIMEOUT_MS))
-            .send_json(&order)
-            .await;
+        let req = request(Method::POST, &format!("{}/engine/orders", self.base));
+        let sent = self.control_client().send_json(req, &order).await;
         match sent.map(|r| r.status().as_u16()) {
             Ok(200..=299) => OrderOutcome::CarriedOut,
             Ok(409) => OrderOutcome::RefusedAsOld,
--- a/crates/mulberry-side/src/online.rs
+++ b/crates/mulberry-side/src/online.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
