--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -1,5 +1,6 @@
 //! Calls on batch jobs, which entries and owners send to the owner over links.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -256,7 +257,8 @@
         let heard_at = Cell::new(Instant::now());
         let mut limit = SILENCE_LIMIT.min(left / 2);
         let mut tries = FuturesUnordered::new();
-        tries.push(self.try_once(address, call.clone(), self.idle.take(address), &heard_at));
+        let first = Cow::Borrowed(call);
+        tries.push(self.try_once(address, first, self.idle.take(address), &heard_at));
         let mut failure = None;
         loop {
             tokio::select! {
@@ -268,7 +270,7 @@
                 () = silence(&heard_at, limit), if tries.len() < MAX_LINKS_PER_CALL => {
                     self.record_silence(address, call, limit);
                     let again = call.for_retry(until.saturating_duration_since(Instant::now()));
-                    tries.push(self.try_once(address, again, None, &heard_at));
+                    tries.push(self.try_once(address, Cow::Owned(again), None, &heard_at));
                     heard_at.set(Instant::now());
                     limit *= 2;
                 }
@@ -280,7 +282,7 @@
     async fn try_once(
         &self,
         address: SocketAddr,
-        call: JobCall,
+        call: Cow<'_, JobCall>,
         idle: Option<LinkConnection>,
         heard_at: &Cell<Instant>,
     ) -> Result<JobReply, LinkError> {
@@ -288,7 +290,7 @@
             Some(link) => link,
             None => self.open_link(address).await.map_err(as_connect_error)?,
         };
-        link.send(&call).await?;
+        link.send(&*call).await?;
         let reply = link.receive_heard(|| heard_at.set(Instant::now())).await?;
         self.idle.put_back(address, link);
         Ok(reply)
--- a/crates/mulberry-direct/src/owner/link_server.rs
+++ b/crates/mulberry-direct/src/owner/link_server.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use mulberry_link::LinkConnection;
+use mulberry_link::LinkError;
 use mulberry_policy::memory_budget::HolderId;
 use mulberry_policy::memory_budget::Reservation;
 use mulberry_protocol::event::Event;
@@ -103,19 +104,28 @@
         }
     };
     // The peer closes the link when it no longer needs it, unless the link has gone silent.
-    while let Ok(Ok(bytes)) = timeout(IDLE_TIMEOUT, link.next_size()).await {
-        let Some(_held) = CallBytes::reserve(&owner.shared, bytes).await else { return };
-        let Ok(Ok(call)) = timeout(TRANSFER_TIMEOUT, link.receive::<JobCall>()).await else {
-            break;
-        };
-        let reply = dispatch_alive(&owner, &mut link, call).await;
-        match timeout(TRANSFER_TIMEOUT, link.send(&reply)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => return,
-            Err(_) => break,
-        }
+    if let Err(LinkError::TimedOut) = serve_calls(&owner, &mut link).await {
+        owner.shared.metrics.count("direct.links_idle_closed");
     }
-    owner.shared.metrics.count("direct.links_idle_closed");
+}
+
+/// Serves one call after the other, until there is no room for one or the link fails or is idle for too long.
+async fn serve_calls(owner: &Rc<Owner>, link: &mut LinkConnection) -> Result<(), LinkError> {
+    loop {
+        let bytes = within(IDLE_TIMEOUT, link.next_size()).await?;
+        let Some(_held) = CallBytes::reserve(&owner.shared, bytes).await else { return Ok(()) };
+        let call = within(TRANSFER_TIMEOUT, link.receive::<JobCall>()).await?;
+        let reply = dispatch_alive(owner, link, call).await;
+        within(TRANSFER_TIMEOUT, link.send(&reply)).await?;
+    }
+}
+
+/// Waits for a step of a link, for a limited time.
+async fn within<T>(
+    limit: Duration,
+    step: impl Future<Output = Result<T, LinkError>>,
+) -> Result<T, LinkError> {
+    timeout(limit, step).await.unwrap_or(Err(LinkError::TimedOut))
 }
 
 /// Carries out a call, and sends signs of life to its caller meanwhile.
