--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -186,19 +186,20 @@
         let until = self.shared.clock.now() + timeout_ms;
         let no_owner_until = self.shared.clock.now() + timeout_ms.min(NO_OWNER_TIMEOUT_MS);
         let mut unreachable = None;
-        let mut uncertain = false;
+        let uncertain = Cell::new(false);
         loop {
             let left = Duration::from_millis(until.since(self.shared.clock.now()).max(1));
             let owner = find_owner(&self.shared).map(|(_, address)| address);
             let failure = match owner.filter(|address| Some(*address) != unreachable) {
                 None => CallFailure::NoOwner,
                 Some(address) => {
-                    match tokio::time::timeout(left, self.exchange(address, call, left)).await {
+                    let exchange = self.exchange(address, call, left, &uncertain);
+                    match tokio::time::timeout(left, exchange).await {
                         Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
-                            uncertain |= r.run != RunState::NotRun;
+                            uncertain.set(uncertain.get() || r.run != RunState::NotRun);
                             CallFailure::NoOwner
                         }
-                        Ok(Ok(reply)) if uncertain => return after_uncertain_try(reply),
+                        Ok(Ok(reply)) if uncertain.get() => return after_uncertain_try(reply),
                         Ok(Ok(reply)) => return reply,
                         Ok(Err(LinkError::Connect { .. })) => {
                             unreachable = Some(address);
@@ -209,14 +210,14 @@
                     }
                 }
             };
-            uncertain |= !matches!(failure, CallFailure::NoOwner);
+            uncertain.set(uncertain.get() || !matches!(failure, CallFailure::NoOwner));
             let now = self.shared.clock.now();
             let timed_out = match failure {
-                CallFailure::NoOwner => now >= no_owner_until && (!uncertain || now >= until),
+                CallFailure::NoOwner => now >= no_owner_until && (!uncertain.get() || now >= until),
                 CallFailure::LinkBroken(_) | CallFailure::Timeout => now >= until,
             };
             if timed_out {
-                return self.refuse(failure, uncertain);
+                return self.refuse(failure, uncertain.get());
             }
             tokio::time::sleep(Duration::from_millis(OWNER_POLL_INTERVAL_MS)).await;
         }
@@ -230,7 +231,9 @@
         call: &JobCall,
         timeout: Duration,
     ) -> Option<JobReply> {
-        tokio::time::timeout(timeout, self.exchange(address, call, timeout)).await.ok()?.ok()
+        let uncertain = Cell::new(false);
+        let exchange = self.exchange(address, call, timeout, &uncertain);
+        tokio::time::timeout(timeout, exchange).await.ok()?.ok()
     }
 
     fn refuse(&self, failure: CallFailure, uncertain: bool) -> JobReply {
@@ -246,12 +249,14 @@
 
     /// Sends a call to a process and returns the first reply. If nothing is heard for a while, sends it over a
     /// new link as well: a link can go silent for good without being closed, and the others that are idle
-    /// may have gone silent with it.
+    /// may have gone silent with it. Sets `uncertain` then: the reply does not say whether the process has
+    /// also received the call over the earlier link.
     async fn exchange(
         &self,
         address: SocketAddr,
         call: &JobCall,
         left: Duration,
+        uncertain: &Cell<bool>,
     ) -> Result<JobReply, LinkError> {
         let until = Instant::now() + left;
         let heard_at = Cell::new(Instant::now());
@@ -268,6 +273,7 @@
                     None => return Err(failure.unwrap_or(LinkError::Closed)),
                 },
                 () = silence(&heard_at, limit), if tries.len() < MAX_LINKS_PER_CALL => {
+                    uncertain.set(true);
                     self.record_silence(address, call, limit);
                     let again = call.for_retry(until.saturating_duration_since(Instant::now()));
                     tries.push(self.try_once(address, Cow::Owned(again), None, &heard_at));
