--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -185,35 +185,40 @@
     pub async fn call(&self, call: &JobCall, timeout_ms: u64) -> JobReply {
         let until = self.shared.clock.now() + timeout_ms;
         let no_owner_until = self.shared.clock.now() + timeout_ms.min(NO_OWNER_TIMEOUT_MS);
-        let mut unreachable = None;
+        let mut unreachable: Option<(SocketAddr, String)> = None;
         let uncertain = Cell::new(false);
         loop {
             let left = Duration::from_millis(until.since(self.shared.clock.now()).max(1));
-            let owner = find_owner(&self.shared).map(|(_, address)| address);
-            let failure = match owner.filter(|address| Some(*address) != unreachable) {
-                None => CallFailure::NoOwner,
-                Some(address) => {
+            let failure = match (find_owner(&self.shared), &unreachable) {
+                (None, _) => CallFailure::NoOwner("no owner of the batch jobs is known".into()),
+                (Some((_, address)), Some((unreached, detail))) if address == *unreached => {
+                    CallFailure::NoOwner(detail.clone().into())
+                }
+                (Some((_, address)), _) => {
                     let exchange = self.exchange(address, call, left, &uncertain);
                     match tokio::time::timeout(left, exchange).await {
                         Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
                             uncertain.set(uncertain.get() || r.run != RunState::NotRun);
-                            CallFailure::NoOwner
+                            CallFailure::NoOwner(r.detail.into())
                         }
                         Ok(Ok(reply)) if uncertain.get() => return after_uncertain_try(reply),
                         Ok(Ok(reply)) => return reply,
-                        Ok(Err(LinkError::Connect { .. })) => {
-                            unreachable = Some(address);
-                            CallFailure::NoOwner
+                        Ok(Err(e @ LinkError::Connect { .. })) => {
+                            let detail = e.to_string();
+                            unreachable = Some((address, detail.clone()));
+                            CallFailure::NoOwner(detail.into())
                         }
                         Ok(Err(e)) => CallFailure::LinkBroken(e.to_string()),
                         Err(_) => CallFailure::Timeout,
                     }
                 }
             };
-            uncertain.set(uncertain.get() || !matches!(failure, CallFailure::NoOwner));
+            uncertain.set(uncertain.get() || !matches!(failure, CallFailure::NoOwner(_)));
             let now = self.shared.clock.now();
             let timed_out = match failure {
-                CallFailure::NoOwner => now >= no_owner_until && (!uncertain.get() || now >= until),
+                CallFailure::NoOwner(_) => {
+                    now >= no_owner_until && (!uncertain.get() || now >= until)
+                }
                 CallFailure::LinkBroken(_) | CallFailure::Timeout => now >= until,
             };
             if timed_out {
@@ -238,9 +243,9 @@
 
     fn refuse(&self, failure: CallFailure, uncertain: bool) -> JobReply {
         let (cause, detail) = match failure {
-            CallFailure::NoOwner => ("no-owner", "no owner of the batch jobs is known".to_owned()),
-            CallFailure::LinkBroken(detail) => ("link", detail),
-            CallFailure::Timeout => ("slow", "the owner did not reply in time".to_owned()),
+            CallFailure::NoOwner(detail) => ("no-owner", detail),
+            CallFailure::LinkBroken(detail) => ("link", detail.into()),
+            CallFailure::Timeout => ("slow", "the owner did not reply in time".into()),
         };
         self.shared.metrics.count_reason("direct.job_calls_refused", cause);
         let refusal = Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
@@ -344,8 +349,8 @@
 
 /// Why a call got no reply.
 enum CallFailure {
-    /// No owner is known or can be reached, or it is not serving yet.
-    NoOwner,
+    /// No owner is known or can be reached, or it is not serving yet; the text says which.
+    NoOwner(Cow<'static, str>),
     /// The link broke during the exchange; the call may have taken effect.
     LinkBroken(String),
     /// The reply did not arrive in time; the call may have taken effect.
