--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -297,13 +297,17 @@
         idle: Option<LinkConnection>,
         heard_at: &Cell<Instant>,
     ) -> Result<JobReply, LinkError> {
-        let mut link = match idle {
+        let link = match idle {
             Some(link) => link,
             None => self.open_link(address).await.map_err(as_connect_error)?,
         };
-        link.send(&*call).await?;
-        let reply = link.receive_heard(|| heard_at.set(Instant::now())).await?;
-        self.idle.put_back(address, link);
+        // An owner that is full sends signs of life before it takes the whole call.
+        let (mut writer, mut reader) = link.split();
+        let heard = || heard_at.set(Instant::now());
+        let ((), reply) = tokio::try_join!(writer.send(&*call), reader.receive_heard(heard))?;
+        if let Some(link) = reader.reunite(writer) {
+            self.idle.put_back(address, link);
+        }
         Ok(reply)
     }
 
--- a/crates/mulberry-direct/src/owner/link_server.rs
+++ b/crates/mulberry-direct/src/owner/link_server.rs
@@ -19,7 +19,6 @@
 
 use crate::job_calls::ALIVE_INTERVAL;
 use crate::job_calls::JobCall;
-use crate::job_calls::JobReply;
 use crate::owner::Owner;
 use crate::owner::dispatch::dispatch_call;
 use crate::shared::SharedState;
@@ -113,9 +112,10 @@
 async fn serve_calls(owner: &Rc<Owner>, link: &mut LinkConnection) -> Result<(), LinkError> {
     loop {
         let bytes = within(IDLE_TIMEOUT, link.next_size()).await?;
-        let Some(_held) = CallBytes::reserve(&owner.shared, bytes).await else { return Ok(()) };
+        let held = with_signs_of_life(link, CallBytes::reserve(&owner.shared, bytes)).await;
+        let Some(_held) = held else { return Ok(()) };
         let call = within(TRANSFER_TIMEOUT, link.receive::<JobCall>()).await?;
-        let reply = dispatch_alive(owner, link, call).await;
+        let reply = with_signs_of_life(link, dispatch_call(owner, call)).await;
         within(TRANSFER_TIMEOUT, link.send(&reply)).await?;
     }
 }
@@ -128,12 +128,12 @@
     timeout(limit, step).await.unwrap_or(Err(LinkError::TimedOut))
 }
 
-/// Carries out a call, and sends signs of life to its caller meanwhile.
-async fn dispatch_alive(owner: &Rc<Owner>, link: &mut LinkConnection, call: JobCall) -> JobReply {
-    let mut reply = pin!(dispatch_call(owner, call));
+/// Waits for a step of a call, and sends signs of life to its caller meanwhile.
+async fn with_signs_of_life<T>(link: &mut LinkConnection, step: impl Future<Output = T>) -> T {
+    let mut step = pin!(step);
     loop {
-        if let Ok(reply) = timeout(ALIVE_INTERVAL, &mut reply).await {
-            return reply;
+        if let Ok(done) = timeout(ALIVE_INTERVAL, &mut step).await {
+            return done;
         }
         // A broken link shows when the reply is sent. One that takes nothing must not hold up the call.
         let _sent = timeout(Duration::ZERO, link.send_alive()).await;
--- a/crates/mulberry-link/src/connection.rs
+++ b/crates/mulberry-link/src/connection.rs
@@ -190,7 +190,15 @@
 impl LinkReader {
     /// Receives a message.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, LinkError> {
-        receive_message(&mut self.frames, || {}).await
+        self.receive_heard(|| {}).await
+    }
+
+    /// Receives a message, and calls `heard` at each sign of life before it.
+    pub async fn receive_heard<T: DeserializeOwned>(
+        &mut self,
+        heard: impl FnMut(),
+    ) -> Result<T, LinkError> {
+        receive_message(&mut self.frames, heard).await
     }
 
     /// Puts the halves of a connection together again. Returns none if they belong to different
