--- a/crates/mulberry-direct/src/owner/giving_up.rs
+++ b/crates/mulberry-direct/src/owner/giving_up.rs
@@ -4,7 +4,7 @@
 //! An accepted item is owed: endpoints may have crashed under it for another reason, so that it is run
 //! again however often that happens, with growing pauses.
 
-use mulberry_policy::job_log::ItemPhase;
+use mulberry_policy::item_state::ItemPhase;
 use mulberry_policy::job_log::JobLog;
 use mulberry_policy::job_prospects::Stranded;
 use mulberry_protocol::event::Event;
--- a/crates/mulberry-direct/src/owner/job_routes.rs
+++ b/crates/mulberry-direct/src/owner/job_routes.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexSet;
 
 use mulberry_policy::batch_share::VERSION_WAIT_MS;
-use mulberry_policy::job_log::ItemState;
+use mulberry_policy::item_state::ItemState;
 use mulberry_policy::job_log::JobLog;
 use mulberry_protocol::digest::stable_hash;
 use mulberry_protocol::endpoint::EndpointRecord;
--- a/crates/mulberry-direct/src/owner/schedule.rs
+++ b/crates/mulberry-direct/src/owner/schedule.rs
@@ -13,7 +13,7 @@
 use mulberry_policy::batch_share::SharedEndpoint;
 use mulberry_policy::batch_share::WaitingItem;
 use mulberry_policy::batch_share::plan_batch;
-use mulberry_policy::job_log::ItemPhase;
+use mulberry_policy::item_state::ItemPhase;
 use mulberry_policy::run_outcome::RunOutcome;
 use mulberry_protocol::digest::stable_hash;
 use mulberry_protocol::endpoint::EndpointRecord;
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod fair_share;
 pub mod fault_injection;
 pub mod heartbeat_interval;
+pub mod item_state;
 pub mod item_times;
 pub mod job_log;
 pub mod job_origin;
--- a/crates/mulberry-policy/src/progress_copies.rs
+++ b/crates/mulberry-policy/src/progress_copies.rs
@@ -13,7 +13,7 @@
 use mulberry_protocol::batch_job::ItemProgress;
 use mulberry_protocol::name::JobId;
 
-use crate::job_log::ItemOutput;
+use crate::item_state::ItemOutput;
 
 /// Bytes of output after which no further items are added to a batch; the rest follows in the next.
 pub const MAX_COPY_BYTES: usize = 300_000;
--- a/crates/mulberry-policy/tests/job_log.rs
+++ b/crates/mulberry-policy/tests/job_log.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use mulberry_policy::job_log::ItemPhase;
+use mulberry_policy::item_state::ItemPhase;
+use mulberry_policy::item_state::Progress;
 use mulberry_policy::job_log::JobLog;
-use mulberry_policy::job_log::Progress;
 use mulberry_policy::job_origin::JobOrigin;
 use mulberry_policy::run_outcome::ItemDecision;
 use mulberry_policy::run_outcome::RunOutcome;
--- a/crates/mulberry-policy/tests/progress_copies.rs
+++ b/crates/mulberry-policy/tests/progress_copies.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use mulberry_policy::job_log::ItemOutput;
+use mulberry_policy::item_state::ItemOutput;
 use mulberry_policy::progress_copies::CopySender;
 use mulberry_policy::progress_copies::MAX_COPY_BYTES;
 use mulberry_policy::progress_copies::ProgressCopies;
