--- a/crates/mulberry-direct/src/job_calls.rs
+++ b/crates/mulberry-direct/src/job_calls.rs
@@ -185,41 +185,29 @@
     pub async fn call(&self, call: &JobCall, timeout_ms: u64) -> JobReply {
         let until = self.shared.clock.now() + timeout_ms;
         let no_owner_until = self.shared.clock.now() + timeout_ms.min(NO_OWNER_TIMEOUT_MS);
-        let mut unreachable: Option<(SocketAddr, String)> = None;
+        let mut unreachable = None;
         let uncertain = Cell::new(false);
+        let mut failure = CallFailure::NoOwner;
         loop {
             let left = Duration::from_millis(until.since(self.shared.clock.now()).max(1));
-            let failure = match (find_owner(&self.shared), &unreachable) {
-                (None, _) => CallFailure::NoOwner("no owner of the batch jobs is known".into()),
-                (Some((_, address)), Some((unreached, detail))) if address == *unreached => {
-                    CallFailure::NoOwner(detail.clone().into())
-                }
-                (Some((_, address)), _) => {
-                    let exchange = self.exchange(address, call, left, &uncertain);
-                    match tokio::time::timeout(left, exchange).await {
-                        Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
-                            uncertain.set(uncertain.get() || r.run != RunState::NotRun);
-                            CallFailure::NoOwner(r.detail.into())
-                        }
-                        Ok(Ok(reply)) if uncertain.get() => return after_uncertain_try(reply),
-                        Ok(Ok(reply)) => return reply,
-                        Ok(Err(e @ LinkError::Connect { .. })) => {
-                            let detail = e.to_string();
-                            unreachable = Some((address, detail.clone()));
-                            CallFailure::NoOwner(detail.into())
-                        }
-                        Ok(Err(e)) => CallFailure::LinkBroken(e.to_string()),
-                        Err(_) => CallFailure::Timeout,
+            match find_owner(&self.shared) {
+                None => failure = CallFailure::NoOwner,
+                Some((_, address)) if Some(address) == unreachable => {}
+                Some((_, address)) => {
+                    failure = match self.try_owner(address, call, left, &uncertain).await {
+                        Ok(reply) if uncertain.get() => return after_uncertain_try(reply),
+                        Ok(reply) => return reply,
+                        Err(failure) => failure,
+                    };
+                    if matches!(failure, CallFailure::Unreachable(_)) {
+                        unreachable = Some(address);
                     }
                 }
-            };
-            uncertain.set(uncertain.get() || !matches!(failure, CallFailure::NoOwner(_)));
+            }
             let now = self.shared.clock.now();
-            let timed_out = match failure {
-                CallFailure::NoOwner(_) => {
-                    now >= no_owner_until && (!uncertain.get() || now >= until)
-                }
-                CallFailure::LinkBroken(_) | CallFailure::Timeout => now >= until,
+            let timed_out = match failure.is_for_want_of_owner() {
+                true => now >= no_owner_until && (!uncertain.get() || now >= until),
+                false => now >= until,
             };
             if timed_out {
                 return self.refuse(failure, uncertain.get());
@@ -228,6 +216,29 @@
         }
     }
 
+    /// Sends a call to the owner once. Sets `uncertain` if it may have taken effect nevertheless, should it fail.
+    async fn try_owner(
+        &self,
+        address: SocketAddr,
+        call: &JobCall,
+        left: Duration,
+        uncertain: &Cell<bool>,
+    ) -> Result<JobReply, CallFailure> {
+        let exchange = self.exchange(address, call, left, uncertain);
+        let failure = match tokio::time::timeout(left, exchange).await {
+            Ok(Ok(JobReply::Refused(r))) if r.reason == RefusalReason::NotReady => {
+                uncertain.set(uncertain.get() || r.run != RunState::NotRun);
+                CallFailure::NotServing(r.detail)
+            }
+            Ok(Ok(reply)) => return Ok(reply),
+            Ok(Err(e @ LinkError::Connect { .. })) => CallFailure::Unreachable(e.to_string()),
+            Ok(Err(e)) => CallFailure::LinkBroken(e.to_string()),
+            Err(_) => CallFailure::Timeout,
+        };
+        uncertain.set(uncertain.get() || !failure.is_for_want_of_owner());
+        Err(failure)
+    }
+
     /// Sends a call to one process, whether it is the owner or not, and returns the reply if it
     /// arrives within `timeout`.
     pub async fn call_at(
@@ -243,9 +254,12 @@
 
     fn refuse(&self, failure: CallFailure, uncertain: bool) -> JobReply {
         let (cause, detail) = match failure {
-            CallFailure::NoOwner(detail) => ("no-owner", detail),
-            CallFailure::LinkBroken(detail) => ("link", detail.into()),
-            CallFailure::Timeout => ("slow", "the owner did not reply in time".into()),
+            CallFailure::NoOwner => ("no-owner", "no owner of the batch jobs is known".to_owned()),
+            CallFailure::Unreachable(detail) | CallFailure::NotServing(detail) => {
+                ("no-owner", detail)
+            }
+            CallFailure::LinkBroken(detail) => ("link", detail),
+            CallFailure::Timeout => ("slow", "the owner did not reply in time".to_owned()),
         };
         self.shared.metrics.count_reason("direct.job_calls_refused", cause);
         let refusal = Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
@@ -353,14 +367,28 @@
 
 /// Why a call got no reply.
 enum CallFailure {
-    /// No owner is known or can be reached, or it is not serving yet; the text says which.
-    NoOwner(Cow<'static, str>),
+    /// No owner is known.
+    NoOwner,
+    /// No link to the owner can be opened.
+    Unreachable(String),
+    /// The process that claims to be the owner does not serve calls now.
+    NotServing(String),
     /// The link broke during the exchange; the call may have taken effect.
     LinkBroken(String),
     /// The reply did not arrive in time; the call may have taken effect.
     Timeout,
 }
 
+impl CallFailure {
+    /// Returns whether there was no owner that could carry out the call.
+    fn is_for_want_of_owner(&self) -> bool {
+        match self {
+            CallFailure::NoOwner | CallFailure::Unreachable(_) | CallFailure::NotServing(_) => true,
+            CallFailure::LinkBroken(_) | CallFailure::Timeout => false,
+        }
+    }
+}
+
 /// Returns the reply to a call that an earlier try may have carried out, or may still carry out: that the
 /// present owner refuses it does not say that nothing is done.
 fn after_uncertain_try(reply: JobReply) -> JobReply {
