--- a/crates/mulberry-entry/src/jobs/owner_link.rs
+++ b/crates/mulberry-entry/src/jobs/owner_link.rs
@@ -3,9 +3,11 @@
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::interval;
 
 use mulberry_link::LinkConnection;
 use mulberry_link::LinkError;
@@ -15,6 +17,8 @@
 use mulberry_protocol::digest::Digest;
 use mulberry_protocol::event::Event;
 use mulberry_protocol::link::FromOwner;
+use mulberry_protocol::link::OWNER_LINK_ALIVE_INTERVAL_MS;
+use mulberry_protocol::link::OWNER_LINK_SILENCE_LIMIT_MS;
 use mulberry_protocol::link::ToOwner;
 use mulberry_protocol::log_event;
 
@@ -74,14 +78,21 @@
     }
 }
 
+/// Sends the messages to a side, and signs of life at an interval, the first one at once.
 async fn send_messages(
     mut writer: LinkWriter,
     mut rx: mpsc::UnboundedReceiver<FromOwner>,
 ) -> Result<(), LinkError> {
-    while let Some(message) = rx.recv().await {
-        writer.send(&message).await?;
+    let mut alive = interval(Duration::from_millis(OWNER_LINK_ALIVE_INTERVAL_MS));
+    loop {
+        tokio::select! {
+            message = rx.recv() => match message {
+                Some(message) => writer.send(&message).await?,
+                None => return Ok(()),
+            },
+            _ = alive.tick() => writer.send_alive().await?,
+        }
     }
-    Ok(())
 }
 
 async fn receive_messages(
@@ -92,7 +103,8 @@
     actors: &ControlActors,
 ) -> Result<(), LinkError> {
     loop {
-        let reply = match reader.receive().await? {
+        let limit = Duration::from_millis(OWNER_LINK_SILENCE_LIMIT_MS);
+        let reply = match reader.receive_while_alive(limit, || {}).await? {
             ToOwner::Pull { service, models, room, .. } => {
                 let take = TakeItems { link, service, models, max_items: usize::from(room) };
                 let items = actors.jobs.send(take).await.unwrap_or_default();
--- a/crates/mulberry-link/src/connection.rs
+++ b/crates/mulberry-link/src/connection.rs
@@ -63,6 +63,8 @@
 /// The receiving half of a connection.
 pub struct LinkReader {
     frames: SplitStream<Frames>,
+    /// Whether the peer has sent a sign of life, and is expected to go on.
+    shows_life: bool,
 }
 
 impl LinkConnection {
@@ -141,7 +143,7 @@
     /// Splits the connection into halves that can send and receive at the same time.
     pub fn split(self) -> (LinkWriter, LinkReader) {
         let (writer, reader) = self.frames.split();
-        (LinkWriter { frames: writer }, LinkReader { frames: reader })
+        (LinkWriter { frames: writer }, LinkReader { frames: reader, shows_life: false })
     }
 
     /// Runs the handshake of the connecting end: sends a signature of both nonces, and checks the
@@ -185,6 +187,11 @@
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
         self.frames.send(encode_message(message)?).await.map_err(broken_link)
     }
+
+    /// Sends a sign of life, as [`LinkConnection::send_alive`] does.
+    pub async fn send_alive(&mut self) -> Result<(), LinkError> {
+        self.frames.send(Bytes::new()).await.map_err(broken_link)
+    }
 }
 
 impl LinkReader {
@@ -201,6 +208,29 @@
         receive_message(&mut self.frames, heard).await
     }
 
+    /// Receives a message, and calls `heard` at each sign of life before it. Once the peer has sent one, fails if
+    /// nothing comes from it for the limit; a peer of an earlier build sends none, and is waited for.
+    pub async fn receive_while_alive<T: DeserializeOwned>(
+        &mut self,
+        limit: Duration,
+        mut heard: impl FnMut(),
+    ) -> Result<T, LinkError> {
+        loop {
+            let next = self.frames.next();
+            let frame = match self.shows_life {
+                true => timeout(limit, next).await.map_err(|_| LinkError::TimedOut)?,
+                false => next.await,
+            };
+            match frame {
+                Some(Ok(frame)) if frame.is_empty() => {
+                    self.shows_life = true;
+                    heard();
+                }
+                frame => return decode_frame(frame),
+            }
+        }
+    }
+
     /// Puts the halves of a connection together again. Returns none if they belong to different
     /// ones.
     pub fn reunite(self, writer: LinkWriter) -> Option<LinkConnection> {
--- a/crates/mulberry-protocol/src/link.rs
+++ b/crates/mulberry-protocol/src/link.rs
@@ -26,6 +26,13 @@
 /// Largest frame accepted, in bytes: a request body of the usual limit, 4 MB, with what is sent around it.
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024 + 64 * 1024;
 
+/// Interval at which a job owner sends a sign of life over its link to a side, in milliseconds. The side sends one
+/// back for each.
+pub const OWNER_LINK_ALIVE_INTERVAL_MS: u64 = 3_000;
+
+/// Time after which a link between a job owner and a side counts as broken if nothing comes over it, in milliseconds.
+pub const OWNER_LINK_SILENCE_LIMIT_MS: u64 = 10_000;
+
 closed_set! {
     /// The urgency of a request.
     pub enum Urgency {
--- a/crates/mulberry-side/src/batch.rs
+++ b/crates/mulberry-side/src/batch.rs
@@ -3,11 +3,13 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use indexmap::IndexMap;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -20,6 +22,7 @@
 use mulberry_protocol::link::BatchItem;
 use mulberry_protocol::link::FromOwner;
 use mulberry_protocol::link::ItemResponse;
+use mulberry_protocol::link::OWNER_LINK_SILENCE_LIMIT_MS;
 use mulberry_protocol::link::ToOwner;
 use mulberry_protocol::link::Urgency;
 use mulberry_protocol::log_event;
@@ -96,9 +99,10 @@
         Ok(connection) => {
             let (writer, reader) = connection.split();
             let stop_signals = Rc::new(JobStopSignals::default());
+            let heard = Notify::new();
             let ended = tokio::select! {
-                ended = send_to_owner(writer, rx) => ended,
-                ended = receive_from_owner(reader, &entry, &tx, &stop_signals, &shared) => ended,
+                ended = send_to_owner(writer, rx, &heard) => ended,
+                ended = receive_from_owner(reader, &entry, &tx, &heard, &stop_signals, &shared) => ended,
             };
             stop_signals.stop_all();
             ended
@@ -112,25 +116,34 @@
     shared.control.do_send(PullEnded { entry, items: 0 });
 }
 
+/// Sends the messages to an owner, and a sign of life for each that was heard from it.
 async fn send_to_owner(
     mut writer: LinkWriter,
     mut rx: mpsc::UnboundedReceiver<ToOwner>,
+    heard: &Notify,
 ) -> Result<(), LinkError> {
-    while let Some(message) = rx.recv().await {
-        writer.send(&message).await?;
+    loop {
+        tokio::select! {
+            message = rx.recv() => match message {
+                Some(message) => writer.send(&message).await?,
+                None => return Ok(()),
+            },
+            () = heard.notified() => writer.send_alive().await?,
+        }
     }
-    Ok(())
 }
 
 async fn receive_from_owner(
     mut reader: LinkReader,
     entry: &EntryName,
     tx: &mpsc::WeakUnboundedSender<ToOwner>,
+    heard: &Notify,
     stop_signals: &Rc<JobStopSignals>,
     shared: &Shared,
 ) -> Result<(), LinkError> {
+    let limit = Duration::from_millis(OWNER_LINK_SILENCE_LIMIT_MS);
     loop {
-        match reader.receive().await? {
+        match reader.receive_while_alive(limit, || heard.notify_one()).await? {
             FromOwner::Items(items) => {
                 let count = items.len();
                 for item in items {
--- a/crates/mulberry-trial/tests/fault_tolerance.rs
+++ b/crates/mulberry-trial/tests/fault_tolerance.rs
@@ -8,6 +8,12 @@
 
 use serde_json::Value;
 
+use mulberry_link::LinkConnection;
+use mulberry_protocol::auth::SecretKeyring;
+use mulberry_protocol::link::FromOwner;
+use mulberry_protocol::link::ToOwner;
+use mulberry_protocol::name::ModelName;
+use mulberry_protocol::name::ServiceName;
 use mulberry_standin::engine::EngineFaults;
 use mulberry_standin::engine::EngineSettings;
 use mulberry_standin::object_api::ObjectApiFaults;
@@ -17,12 +23,16 @@
 use mulberry_trial::plan::CLIENT_KEY;
 use mulberry_trial::plan::FleetPlan;
 use mulberry_trial::plan::OTHER_CLIENT_KEY;
+use mulberry_trial::plan::PEER_SECRET;
 use mulberry_trial::plan::SAMPLE_BUNDLE;
 use mulberry_trial::request::ChatRequest;
 
 /// Timeout for a state that must be reached. Generous, as no test measures how long it takes.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time in which an owner sends at least one sign of life.
+const SIGN_TIMEOUT: Duration = Duration::from_secs(5);
+
 async fn start_fleet(engines: usize) -> Fleet {
     let settings = EngineSettings { step_base_us: 3_000, ..EngineSettings::default() };
     let fleet = Fleet::start(FleetPlan::sample(engines, settings)).await.unwrap();
@@ -119,6 +129,52 @@
     fleet.stop().await;
 }
 
+/// Pulls items from the job owners as a side does, until one has some. Returns the link that has got them.
+async fn pull_items(fleet: &Fleet) -> LinkConnection {
+    let secrets = SecretKeyring::parse(PEER_SECRET).unwrap();
+    let mut links = Vec::new();
+    for entry in fleet.entries.values() {
+        let owner = entry.process.as_ref().unwrap().owner_address;
+        links.push(LinkConnection::connect(owner, &secrets).await.unwrap());
+    }
+    let pull = ToOwner::Pull {
+        endpoint: "silent".into(),
+        service: ServiceName::new("copywriter"),
+        models: vec![ModelName::new("caption-7b")],
+        room: 4,
+    };
+    loop {
+        for index in 0..links.len() {
+            links[index].send(&pull).await.unwrap();
+            if matches!(links[index].receive().await, Ok(FromOwner::Items(items)) if !items.is_empty())
+            {
+                return links.swap_remove(index);
+            }
+        }
+    }
+}
+
+/// Guards against what is related to review/8: items waited for good for a side whose link to the job owner had gone
+/// silent without being closed.
+#[actix_rt::test]
+async fn items_of_a_side_that_went_silent_run_elsewhere() {
+    let fleet = start_fleet(1).await;
+    let caller = new_caller(&fleet);
+    let (requests, lines) = job_input(300);
+    let job = create_job(&caller, &lines).await;
+    let mut silent = pull_items(&fleet).await;
+    let waited = tokio::time::timeout(SIGN_TIMEOUT, silent.receive::<FromOwner>()).await;
+    assert!(waited.is_err(), "the owner has nothing to say: {waited:?}");
+    silent.send_alive().await.unwrap();
+    // The link stays open and carries nothing more.
+    let entry = caller.next_entry();
+    let status = wait_for_job(&caller, entry, &job).await;
+    assert_eq!(status["request_counts"]["completed"], 300);
+    assert_answers(&requests, &read_results(&caller, entry, &job).await);
+    drop(silent);
+    fleet.stop().await;
+}
+
 #[actix_rt::test]
 async fn a_resent_job_keeps_its_id_and_is_hidden_from_other_clients() {
     let fleet = start_fleet(1).await;
