--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -14,11 +14,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use socket2::SockRef;
@@ -30,10 +33,12 @@
 
 use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::response_match::MAX_FAILED_REQUESTS;
+use mulberry_policy::stream_end::BodyFraming;
 use mulberry_protocol::closed_set;
 
 use crate::endpoint_stream::EndpointStream;
-use crate::endpoint_stream::HeadBudget;
+use crate::endpoint_stream::ExchangeWatch;
+use crate::endpoint_stream::MAX_UNSENT_BYTES;
 use crate::holds::HoldGuard;
 use crate::holds::HoldLog;
 use crate::silence::SilenceLog;
@@ -143,7 +148,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: CloseOnDrop,
-    head: HeadBudget,
+    watch: ExchangeWatch,
     reused: bool,
     /// Whether a response has arrived.
     is_answered: bool,
@@ -160,8 +165,8 @@
         let connected = connecting.unwrap_or(Err(ErrorKind::TimedOut.into()));
         let stream = connected.map_err(failed)?;
         set_socket_options(&stream).map_err(failed)?;
-        let head = HeadBudget::default();
-        let stream = TokioIo::new(EndpointStream::new(stream, head.clone()));
+        let watch = ExchangeWatch::default();
+        let stream = TokioIo::new(EndpointStream::new(stream, watch.clone()));
         let handshake = hyper::client::conn::http1::handshake(stream).await;
         let (sender, connection) = handshake.map_err(|source| SendError::Broken { source })?;
         let guard = HoldGuard::new(log, address);
@@ -172,7 +177,7 @@
             for_task.end();
         });
         let driver = CloseOnDrop { task, guard };
-        Ok(Self { sender, driver, head, reused: false, is_answered: false, failed: Vec::new() })
+        Ok(Self { sender, driver, watch, reused: false, is_answered: false, failed: Vec::new() })
     }
 
     /// Records that the other end closes the connection after its response.
@@ -203,9 +208,10 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.head.begin();
+        self.watch.begin();
         let sent = self.sender.try_send_request(req).await;
-        self.head.end();
+        let framing = sent.as_ref().ok().map(|response| body_framing(response.headers()));
+        self.watch.end_head(framing);
         match sent {
             Ok(response) => Ok(response),
             Err(mut e) => match e.take_message() {
@@ -237,6 +243,21 @@
     CrashEvidence::Ended
 }
 
+/// Returns what says where the body of a response with these headers ends.
+pub(crate) fn body_framing(headers: &HeaderMap) -> BodyFraming {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
+    let last_coding = codings.next_back().and_then(|v| v.rsplit(',').next());
+    if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
+        BodyFraming::Chunks
+    } else if last_coding.is_some() {
+        BodyFraming::Connection
+    } else if headers.contains_key(CONTENT_LENGTH) {
+        BodyFraming::Length
+    } else {
+        BodyFraming::Connection
+    }
+}
+
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -245,6 +266,9 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
+    // Without it, the socket takes megabytes of a request of which the endpoint has read nothing. Not all systems have
+    // it; then less is known of what the endpoint has.
+    let _is_known = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -13,11 +13,9 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::TRANSFER_ENCODING;
 use thiserror::Error;
 
 use mulberry_policy::response_match::RepeatedId;
@@ -29,6 +27,7 @@
 use crate::connection::Connection;
 use crate::connection::ConnectionPool;
 use crate::connection::SendError;
+use crate::connection::body_framing;
 use crate::dialect::HeaderNames;
 use crate::endpoint_notice::EndpointNotice;
 use crate::endpoint_notice::read_notice;
@@ -284,20 +283,6 @@
     Ok(response)
 }
 
-fn body_framing(headers: &HeaderMap) -> BodyFraming {
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
-    let last_coding = codings.next_back().and_then(|v| v.rsplit(',').next());
-    if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
-        BodyFraming::Chunks
-    } else if last_coding.is_some() {
-        BodyFraming::Connection
-    } else if headers.contains_key(CONTENT_LENGTH) {
-        BodyFraming::Length
-    } else {
-        BodyFraming::Connection
-    }
-}
-
 /// Largest body that is read from a response whose request did not run, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 
