--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -2,6 +2,7 @@
 //! request.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,6 +33,9 @@
 use crate::endpoint_notice::EndpointNotice;
 use crate::endpoint_notice::read_notice;
 
+/// Statuses of final responses. The HTTP client passes on any three digits from 100 on, and a 101 that nobody asked for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Maximum number of closed idle connections that one exchange replaces by another connection.
 const MAX_STALE_CONNECTIONS: u32 = 3;
 
@@ -230,6 +234,10 @@
     pool.record_heard(address);
     let (head, body) = response.into_parts();
     let status = head.status;
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        // What the endpoint has done nobody knows, nor what else it sends. The connection is closed.
+        return Err(ExchangeError::invalid(format!("{} is no final status", status.as_u16())));
+    }
     let mut headers = head.headers;
     let id = match headers.get(&names.request_id) {
         Some(id) if *id == request_id => RepeatedId::Same,
--- a/crates/mulberry-platform/src/http_client.rs
+++ b/crates/mulberry-platform/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for answers that must be whole: a body that breaks off before the end that its length or its
 //! chunks announce is an error.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,9 @@
 use crate::http::CONNECTIONS_PER_HOST;
 use crate::http::KEEP_ALIVE_TIMEOUT_MS;
 
+/// Statuses of final answers. The HTTP library passes on any three digits from 100 on, and a 101 that nobody asked for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Largest body of an answer that is parsed as JSON, in bytes.
 const MAX_JSON_BYTES: usize = 4 * 1024 * 1024;
 
@@ -44,6 +48,12 @@
     /// No answer came, or its head broke off.
     #[error("no answer: {0}")]
     NoAnswer(#[from] hyper_util::client::legacy::Error),
+    /// The status is none that ends an exchange.
+    #[error("{status} is no final status")]
+    NoFinalStatus {
+        /// The status.
+        status: u16,
+    },
     /// The body broke off.
     #[error("the answer broke off: {0}")]
     BrokenOff(#[from] hyper::Error),
@@ -105,6 +115,10 @@
         let request = request.body(Full::new(body))?;
         let sent = timeout(self.timeout, self.client.request(request)).await;
         let response = sent.map_err(|_| HttpError::TimedOut)??;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(HttpError::NoFinalStatus { status });
+        }
         Ok(HttpResponse { response, timeout: self.timeout })
     }
 
--- a/crates/mulberry-platform/tests/cut_answers.rs
+++ b/crates/mulberry-platform/tests/cut_answers.rs
@@ -108,6 +108,27 @@
     }
 }
 
+/// Guards against the report of other operators (issue 65): an answer whose status is none was taken for the answer.
+#[actix_rt::test]
+async fn status_that_is_none_is_no_answer() {
+    for answer in [
+        "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 600 High\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 999 Highest\r\n\r\nhello",
+    ] {
+        for kept in [0, 1] {
+            let server = start_server(kept, answer);
+            let client = HttpClient::new(TIMEOUT_MS);
+            for _ in 0..kept {
+                assert!(get(&client, server).await.is_ok());
+            }
+            let answered = get(&client, server).await;
+            assert!(answered.is_err(), "{answer:?}, kept {kept}: {answered:?}");
+        }
+    }
+}
+
 /// Guards against a remedy that takes an answer without a length or chunks, which ends with its connection, for
 /// one that broke off.
 #[actix_rt::test]
