--- a/crates/mulberry-direct/src/connection.rs
+++ b/crates/mulberry-direct/src/connection.rs
@@ -31,14 +31,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use mulberry_platform::client_socket::ClientSocket;
+use mulberry_platform::client_socket::ExchangeWatch;
 use mulberry_policy::crash_suspects::CrashEvidence;
 use mulberry_policy::response_match::MAX_FAILED_REQUESTS;
 use mulberry_policy::stream_end::BodyFraming;
 use mulberry_protocol::closed_set;
 
-use crate::endpoint_stream::EndpointStream;
-use crate::endpoint_stream::ExchangeWatch;
-use crate::endpoint_stream::MAX_UNSENT_BYTES;
 use crate::holds::HoldGuard;
 use crate::holds::HoldLog;
 use crate::silence::SilenceLog;
@@ -166,7 +165,7 @@
         let stream = connected.map_err(failed)?;
         set_socket_options(&stream).map_err(failed)?;
         let watch = ExchangeWatch::default();
-        let stream = TokioIo::new(EndpointStream::new(stream, watch.clone()));
+        let stream = TokioIo::new(ClientSocket::new(stream, Some(watch.clone())));
         let handshake = hyper::client::conn::http1::handshake(stream).await;
         let (sender, connection) = handshake.map_err(|source| SendError::Broken { source })?;
         let guard = HoldGuard::new(log, address);
@@ -266,9 +265,6 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    // Without it, the socket takes megabytes of a request of which the endpoint has read nothing. Not all systems have
-    // it; then less is known of what the endpoint has.
-    let _is_known = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -25,7 +25,6 @@
 pub mod drain_gate;
 pub mod endpoint_confirmation;
 pub mod endpoint_notice;
-mod endpoint_stream;
 pub mod entry;
 pub mod exchange;
 pub mod fair_share;
--- a/crates/mulberry-direct/src/endpoint_stream.rs
+++ b/crates/mulberry-platform/src/client_socket.rs
@@ -1,24 +1,28 @@
-//! The socket of an endpoint, which adds to the HTTP client what that leaves out.
+//! The socket of an HTTP client, which adds what the client's library leaves out.
 //!
-//! It reads no more before a response than a head may have: the HTTP client bounds each head, but not the number of
-//! interim responses before the final one, so that a faulty endpoint could keep it reading until the request's deadline.
+//! It reads no more before a response than a head may have: the library bounds each head, but not the number of interim
+//! responses before the final one, so that a faulty server could keep it reading until the request's deadline.
 //!
-//! Where only the connection's end ends a response, it passes that end on once the endpoint has taken the whole request.
-//! The HTTP client takes the end of the endpoint's side for that of the response, though the endpoint may have stopped
-//! in the middle of both, and resets the connection a moment later.
+//! Where only the connection's end ends a response, it passes that end on once the server has taken the whole request.
+//! The library takes the end of the server's side for that of the response, though the server may have stopped in the
+//! middle of both, and resets the connection a moment later.
 
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
 use std::task::ready;
 use std::time::Duration;
 
+use hyper_util::client::legacy::connect::Connected;
+use hyper_util::client::legacy::connect::Connection;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -29,21 +33,21 @@
 use mulberry_policy::stream_end::BodyFraming;
 
 /// Most bytes that are read until the head of a response has come, interim responses included, in bytes. The
-/// HTTP client reads up to some 400 kB at once, the beginning of the body among them.
+/// library reads up to some 400 kB at once, the beginning of the body among them.
 const MAX_HEAD_BYTES: usize = 512 * 1024;
 
 /// Most bytes that a socket takes before it can send them, in bytes.
-pub(crate) const MAX_UNSENT_BYTES: u32 = 16 * 1024;
+const MAX_UNSENT_BYTES: u32 = 16 * 1024;
 
-/// Largest request, in bytes, of which nothing can be on its way any more once it is written and the endpoint has
+/// Largest request, in bytes, of which nothing can be on its way any more once it is written and the server has
 /// responded.
 const MAX_SMALL_REQUEST_BYTES: usize = MAX_UNSENT_BYTES as usize;
 
-/// Time for which an endpoint that has ended its side may take the rest of a request.
+/// Time for which an server that has ended its side may take the rest of a request.
 const UPLOAD_REST_TIME: Duration = Duration::from_millis(1_000);
 
-/// Time after the end of the endpoint's side, and after the whole request is written, within which a reset says that the
-/// endpoint has not read it.
+/// Time after the end of the server's side, and after the whole request is written, within which a reset says that the
+/// server has not read it.
 const RESET_WAIT: Duration = Duration::from_millis(50);
 
 /// What says where the response ends that is being read.
@@ -60,57 +64,71 @@
 
 /// What the exchange on a connection and its socket know of one another.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct ExchangeWatch {
-    state: Rc<WatchState>,
+pub struct ExchangeWatch {
+    state: Arc<Mutex<WatchState>>,
 }
 
 #[derive(Debug, Default)]
 struct WatchState {
     /// The bytes that may still be read before the head of a response, if one is awaited.
-    head_left: Cell<Option<usize>>,
-    response_end: Cell<ResponseEnd>,
+    head_left: Option<usize>,
+    response_end: ResponseEnd,
     /// Bytes of the request that the socket has taken.
-    written: Cell<usize>,
-    /// Wakes the reader, which waits for the writer or for the head to be looked at.
-    reader: RefCell<Option<Waker>>,
+    written: usize,
+    /// Wakes the reader, which waits for the head to be looked at.
+    reader: Option<Waker>,
+}
+
+impl WatchState {
+    /// Returns whether the end of the server's side may be that of a response.
+    fn may_end_response(&self) -> bool {
+        match self.response_end {
+            ResponseEnd::Framing => false,
+            ResponseEnd::Unknown => self.head_left != Some(MAX_HEAD_BYTES),
+            ResponseEnd::Connection => true,
+        }
+    }
 }
 
 impl ExchangeWatch {
     /// Begins to send a request and to wait for the head of its response.
-    pub(crate) fn begin(&self) {
-        self.state.head_left.set(Some(MAX_HEAD_BYTES));
-        self.state.response_end.set(ResponseEnd::Unknown);
-        self.state.written.set(0);
+    pub fn begin(&self) {
+        let mut state = self.state();
+        state.head_left = Some(MAX_HEAD_BYTES);
+        state.response_end = ResponseEnd::Unknown;
+        state.written = 0;
     }
 
     /// Records that the head has come, with what says where the response ends, or that none will come any more.
-    pub(crate) fn end_head(&self, framing: Option<BodyFraming>) {
-        self.state.head_left.set(None);
-        self.state.response_end.set(match framing {
+    pub fn end_head(&self, framing: Option<BodyFraming>) {
+        let mut state = self.state();
+        state.head_left = None;
+        state.response_end = match framing {
             Some(BodyFraming::Connection) => ResponseEnd::Connection,
             Some(BodyFraming::Length | BodyFraming::Chunks) | None => ResponseEnd::Framing,
-        });
-        self.wake_reader();
+        };
+        if let Some(reader) = state.reader.take() {
+            reader.wake();
+        }
     }
 
     /// Takes bytes that were read. Fails if a head is awaited that would be too long with them.
     fn take(&self, bytes: usize) -> io::Result<()> {
-        let Some(left) = self.state.head_left.get() else { return Ok(()) };
+        let mut state = self.state();
+        let Some(left) = state.head_left else { return Ok(()) };
         let rest = left.checked_sub(bytes).ok_or_else(|| {
             io::Error::new(io::ErrorKind::InvalidData, "the head of the response does not end")
         })?;
-        self.state.head_left.set(Some(rest));
+        state.head_left = Some(rest);
         Ok(())
     }
 
-    fn wake_reader(&self) {
-        if let Some(reader) = self.state.reader.take() {
-            reader.wake();
-        }
+    fn state(&self) -> MutexGuard<'_, WatchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// How far a request has got when its endpoint has ended its side, and the time that is left for the rest.
+/// How far a request has got when its server has ended its side, and the time that is left for the rest.
 #[derive(Debug)]
 enum HeldEnd {
     /// A part of it is not written.
@@ -119,37 +137,47 @@
     Unread(Pin<Box<Sleep>>),
 }
 
-/// A connection to an endpoint.
+/// The socket of an HTTP client.
 #[derive(Debug)]
-pub(crate) struct EndpointStream {
+pub struct ClientSocket {
     socket: TcpStream,
-    watch: ExchangeWatch,
-    /// Whether a part of what the HTTP client wanted to write is not written yet.
+    /// What is known of the exchange. Without it, only a request that is still being written holds an end back.
+    watch: Option<ExchangeWatch>,
+    /// Whether a part of what the library wanted to write is not written yet.
     is_writing: bool,
-    /// The end of the endpoint's side, while it is held back.
+    /// The end of the server's side, while it is held back.
     held_end: Option<HeldEnd>,
+    /// Wakes the reader, which waits for the writer.
+    reader: Option<Waker>,
 }
 
-impl EndpointStream {
-    /// Wraps a connected socket.
-    pub(crate) fn new(socket: TcpStream, watch: ExchangeWatch) -> Self {
-        Self { socket, watch, is_writing: false, held_end: None }
+impl ClientSocket {
+    /// Wraps a connected socket, whose exchanges the watch follows.
+    pub fn new(socket: TcpStream, watch: Option<ExchangeWatch>) -> Self {
+        // Without it, the socket takes megabytes of a request of which the server has read nothing. Not all systems have
+        // it; then less is known of what the server has.
+        let _is_known = SockRef::from(&socket).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        Self { socket, watch, is_writing: false, held_end: None, reader: None }
     }
 
-    /// Passes on the end of the endpoint's side, which was read. Fails if a response ends with it of which the endpoint
-    /// has not read the request.
+    /// Returns whether the server may have ended its side, and with it a response, before it has read the request.
+    fn may_break_off(&self) -> bool {
+        let Some(watch) = &self.watch else { return self.is_writing || self.held_end.is_some() };
+        let state = watch.state();
+        let is_unread = self.is_writing || state.written > MAX_SMALL_REQUEST_BYTES;
+        is_unread && state.may_end_response()
+    }
+
+    /// Passes on the end of the server's side, which was read. Fails if a response ends with it of which the server has
+    /// not read the request.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let state = &self.watch.state;
-        let is_large = self.is_writing || state.written.get() > MAX_SMALL_REQUEST_BYTES;
-        let is_end_of_response = match state.response_end.get() {
-            ResponseEnd::Framing => false,
-            ResponseEnd::Unknown => state.head_left.get() != Some(MAX_HEAD_BYTES),
-            ResponseEnd::Connection => true,
-        };
-        if !is_end_of_response || !is_large {
+        if !self.may_break_off() {
             return Poll::Ready(Ok(()));
         }
-        state.reader.replace(Some(cx.waker().clone()));
+        self.reader = Some(cx.waker().clone());
+        if let Some(watch) = &self.watch {
+            watch.state().reader = Some(cx.waker().clone());
+        }
         let held_end = match self.held_end.take() {
             None if self.is_writing => HeldEnd::Unwritten(Box::pin(sleep(UPLOAD_REST_TIME))),
             None => HeldEnd::Unread(Box::pin(sleep(RESET_WAIT))),
@@ -163,7 +191,7 @@
                 ready!(time.as_mut().poll(cx));
                 Poll::Ready(Err(io::Error::new(
                     io::ErrorKind::ConnectionAborted,
-                    "the endpoint ended its side before it had taken the request",
+                    "the server ended its side before it had taken the request",
                 )))
             }
             HeldEnd::Unread(time) => {
@@ -173,21 +201,29 @@
         }
     }
 
-    /// Records how much of what the HTTP client wanted to write was written.
+    /// Records how much of what the library wanted to write was written.
     fn record_write(&mut self, wanted: usize, written: &Poll<io::Result<usize>>) {
         let bytes = match written {
             Poll::Ready(Ok(bytes)) => *bytes,
             Poll::Ready(Err(_)) | Poll::Pending => 0,
         };
         self.is_writing = bytes < wanted;
-        self.watch.state.written.update(|before| before + bytes);
-        if !self.is_writing {
-            self.watch.wake_reader();
+        if let Some(watch) = &self.watch {
+            watch.state().written += bytes;
         }
+        if let Some(reader) = self.reader.take_if(|_| !self.is_writing) {
+            reader.wake();
+        }
+    }
+}
+
+impl Connection for ClientSocket {
+    fn connected(&self) -> Connected {
+        Connected::new()
     }
 }
 
-impl AsyncRead for EndpointStream {
+impl AsyncRead for ClientSocket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -199,11 +235,11 @@
         if bytes == 0 && buf.remaining() > 0 {
             return self.poll_end(cx);
         }
-        Poll::Ready(self.watch.take(bytes))
+        Poll::Ready(self.watch.as_ref().map_or(Ok(()), |watch| watch.take(bytes)))
     }
 }
 
-impl AsyncWrite for EndpointStream {
+impl AsyncWrite for ClientSocket {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/mulberry-platform/src/http_client.rs
+++ b/crates/mulberry-platform/src/http_client.rs
@@ -2,9 +2,14 @@
 //! chunks announce is an error.
 
 use std::ops::RangeInclusive;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::TryFutureExt;
+use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -14,18 +19,23 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use miette::Diagnostic;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tower_service::Service;
 
+use crate::client_socket::ClientSocket;
 use crate::http::CONNECT_TIMEOUT_MS;
 use crate::http::CONNECTIONS_PER_HOST;
 use crate::http::KEEP_ALIVE_TIMEOUT_MS;
@@ -79,10 +89,32 @@
     Request::builder().method(method).uri(url)
 }
 
+/// Opens connections whose ends are looked at while a request is still being written.
+#[derive(Debug, Clone)]
+struct SocketConnector {
+    connector: HttpConnector,
+}
+
+impl Service<Uri> for SocketConnector {
+    type Response = TokioIo<ClientSocket>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.connector.poll_ready(cx)
+    }
+
+    fn call(&mut self, server: Uri) -> Self::Future {
+        let connecting = self.connector.call(server);
+        let socket = |io: TokioIo<TcpStream>| ClientSocket::new(io.into_inner(), None);
+        connecting.map_ok(move |io| TokioIo::new(socket(io))).boxed()
+    }
+}
+
 /// A client with idle connections of its own, for use on one thread.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<SocketConnector, Full<Bytes>>,
     timeout: Duration,
 }
 
@@ -96,7 +128,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_millis(KEEP_ALIVE_TIMEOUT_MS))
             .pool_max_idle_per_host(CONNECTIONS_PER_HOST)
-            .build(connector);
+            .build(SocketConnector { connector });
         Self { client, timeout: Duration::from_millis(timeout_ms) }
     }
 
--- a/crates/mulberry-platform/src/lib.rs
+++ b/crates/mulberry-platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform that the fleet runs on: its object API and its list of VMs.
 
+pub mod client_socket;
 pub mod error;
 pub mod http;
 pub mod http_client;
