--- a/crates/mulberry-direct/src/exchange.rs
+++ b/crates/mulberry-direct/src/exchange.rs
@@ -2,7 +2,6 @@
 //! request.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +18,7 @@
 use hyper::header::HeaderValue;
 use thiserror::Error;
 
+use mulberry_platform::http::FINAL_STATUSES;
 use mulberry_policy::response_match::RepeatedId;
 use mulberry_policy::response_match::ResponseMatch;
 use mulberry_policy::stream_end::BodyFraming;
@@ -33,9 +33,6 @@
 use crate::endpoint_notice::EndpointNotice;
 use crate::endpoint_notice::read_notice;
 
-/// Statuses of final responses. The HTTP client passes on any three digits from 100 on, and a 101 that nobody asked for.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-
 /// Maximum number of closed idle connections that one exchange replaces by another connection.
 const MAX_STALE_CONNECTIONS: u32 = 3;
 
--- a/crates/mulberry-platform/src/client_socket.rs
+++ b/crates/mulberry-platform/src/client_socket.rs
@@ -43,7 +43,7 @@
 /// responded.
 const MAX_SMALL_REQUEST_BYTES: usize = MAX_UNSENT_BYTES as usize;
 
-/// Time for which an server that has ended its side may take the rest of a request.
+/// Time for which a server that has ended its side may take the rest of a request.
 const UPLOAD_REST_TIME: Duration = Duration::from_millis(1_000);
 
 /// Time after the end of the server's side, and after the whole request is written, within which a reset says that the
--- a/crates/mulberry-platform/src/http.rs
+++ b/crates/mulberry-platform/src/http.rs
@@ -1,7 +1,8 @@
-//! Timeouts and connection limits that the HTTP calls of all processes share, and a client for callers in
+//! Timeouts, connection limits and statuses that the HTTP calls of all processes share, and a client for callers in
 //! trials, which can't tell a body that breaks off from a whole one. Processes use
 //! [`crate::http_client::HttpClient`].
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use awc::Client;
@@ -17,6 +18,9 @@
 /// longer, so that a request is never sent on a connection that the server is closing.
 pub(crate) const KEEP_ALIVE_TIMEOUT_MS: u64 = 3_000;
 
+/// Statuses of final responses. The HTTP library passes on any three digits from 100 on, and a 101 that nobody asked for.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Creates a client that does not follow redirects and whose calls time out after `timeout_ms`
 /// unless a request sets its own timeout.
 pub fn new_client(timeout_ms: u64) -> Client {
--- a/crates/mulberry-platform/src/http_client.rs
+++ b/crates/mulberry-platform/src/http_client.rs
@@ -1,7 +1,6 @@
 //! HTTP client for answers that must be whole: a body that breaks off before the end that its length or its
 //! chunks announce is an error.
 
-use std::ops::RangeInclusive;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -38,11 +37,9 @@
 use crate::client_socket::ClientSocket;
 use crate::http::CONNECT_TIMEOUT_MS;
 use crate::http::CONNECTIONS_PER_HOST;
+use crate::http::FINAL_STATUSES;
 use crate::http::KEEP_ALIVE_TIMEOUT_MS;
 
-/// Statuses of final answers. The HTTP library passes on any three digits from 100 on, and a 101 that nobody asked for.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-
 /// Largest body of an answer that is parsed as JSON, in bytes.
 const MAX_JSON_BYTES: usize = 4 * 1024 * 1024;
 
