--- a/crates/mulberry-direct/src/handler.rs
+++ b/crates/mulberry-direct/src/handler.rs
@@ -36,7 +36,7 @@
 use crate::fair_share::FairPlace;
 use crate::fingerprint::online_fingerprint;
 use crate::fingerprint::part_fingerprints;
-use crate::job_calls::JobClient;
+use crate::job_client::JobClient;
 use crate::job_handler::SUBMIT_TIMEOUT_MS;
 use crate::job_handler::Submission;
 use crate::job_handler::handle_job_request;
--- a/crates/mulberry-direct/src/lib.rs
+++ b/crates/mulberry-direct/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod holds;
 mod idle_links;
 pub mod job_calls;
+pub mod job_client;
 mod job_handler;
 pub mod limits;
 pub mod metrics_server;
--- a/crates/mulberry-direct/src/owner/copy.rs
+++ b/crates/mulberry-direct/src/owner/copy.rs
@@ -10,8 +10,8 @@
 use mulberry_protocol::time::Millis;
 
 use crate::job_calls::JobCall;
-use crate::job_calls::JobClient;
 use crate::job_calls::JobReply;
+use crate::job_client::JobClient;
 use crate::owner::Owner;
 use crate::owner::OwnerState;
 use crate::owner::handoff::send_progress;
--- a/crates/mulberry-direct/src/owner/handoff.rs
+++ b/crates/mulberry-direct/src/owner/handoff.rs
@@ -10,8 +10,8 @@
 use mulberry_protocol::name::JobId;
 
 use crate::job_calls::JobCall;
-use crate::job_calls::JobClient;
 use crate::job_calls::JobReply;
+use crate::job_client::JobClient;
 use crate::owner::Owner;
 use crate::owner::submit::not_owner;
 
