--- a/crates/mulberry-direct/src/owner/submit.rs
+++ b/crates/mulberry-direct/src/owner/submit.rs
@@ -91,24 +91,15 @@
     let path = req.path.as_deref().map(Arc::from);
     let name_at_entry = Arc::from(req.route.as_str());
     let address = JobAddress::new(Arc::from(req.host), path, &name_at_entry, &items);
-    let Some(configuration) = owner.shared.configuration.load_full() else {
-        return refuse(unknown_route(&req.route, &address, None));
+    let configuration = owner.shared.configuration.load_full();
+    let route = configuration.as_ref().and_then(|c| c.route_of_job(&address)).cloned();
+    let (Some(configuration), Some(route)) = (configuration, route) else {
+        return refuse(unknown_route(&req.route, &address));
     };
-    let Some(route) = configuration.route_of_job(&address).cloned() else {
-        return refuse(unknown_route(&req.route, &address, Some(configuration.version)));
-    };
-    {
-        let mut state = owner.state.borrow_mut();
-        let waiting = waiting_tokens(&state, &configuration, &route, req.account.as_ref());
-        let max_tokens = route.batch.max_waiting_tokens;
-        if max_tokens > 0 && waiting + tokens > max_tokens {
-            log_event!(info, Event::JobRefused, job = %req.job, reason = "over-quota", waiting,
-                account = req.account.as_ref().map_or("", ClientName::as_str), tokens, most = max_tokens);
-            return JobReply::OverQuota;
-        }
-        let (address, account) = (address.clone(), req.account.clone());
-        let submission = PendingSubmission { address, account, tokens };
-        state.pending_submissions.insert(req.job.clone(), submission);
+    let pending =
+        PendingSubmission { address: address.clone(), account: req.account.clone(), tokens };
+    if !reserve_tokens(owner, &req.job, &configuration, &route, pending) {
+        return JobReply::OverQuota;
     }
     let submitted = Submitted { route, address, account: req.account, items };
     let write = write_until_settled(owner.clone(), req.job.clone(), submitted);
@@ -123,6 +114,28 @@
     }
 }
 
+/// Counts the tokens of a submission as waiting on its route until it is stored. Returns false if the quota of the
+/// route has no room for them.
+fn reserve_tokens(
+    owner: &Owner,
+    job: &JobId,
+    configuration: &Configuration,
+    route: &Route,
+    submission: PendingSubmission,
+) -> bool {
+    let mut state = owner.state.borrow_mut();
+    let (tokens, account) = (submission.tokens, submission.account.as_ref());
+    let waiting = waiting_tokens(&state, configuration, route, account);
+    let max_tokens = route.batch.max_waiting_tokens;
+    if max_tokens > 0 && waiting + tokens > max_tokens {
+        log_event!(info, Event::JobRefused, job = %job, reason = "over-quota", waiting,
+            account = account.map_or("", ClientName::as_str), tokens, most = max_tokens);
+        return false;
+    }
+    state.pending_submissions.insert(job.clone(), submission);
+    true
+}
+
 /// Returns the reply for a job that is already known. Waits while another submission of the job is
 /// being written. Returns `None` if the job is to be written.
 async fn reply_if_known(
@@ -293,10 +306,10 @@
 
 /// Returns the refusal of a job for whose route this process has no limits: its configuration is older or
 /// newer than that of the entry, which asks again.
-fn unknown_route(route: &str, address: &JobAddress, version: Option<u64>) -> Refusal {
+fn unknown_route(name_at_entry: &str, address: &JobAddress) -> Refusal {
     let JobAddress { host, path } = address;
     let detail = format!(
-        "configuration version {version:?} has no batch route for {host} and {path:?}; at the entry it is {route:?}"
+        "the configuration in force here has no batch route for {host} and {path:?}, {name_at_entry:?} at the entry"
     );
     Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS)
 }
